--- a/admin/admin.go
+++ b/admin/admin.go
@@ -21,8 +21,8 @@
 	"bergamotcroft.example/bergamot/configuration"
 	"bergamotcroft.example/bergamot/control"
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -72,7 +72,7 @@
 type Options struct {
 	Operators []Operator
 	Plans     *control.Plans
-	Store     platform.Store
+	Store     store.Store
 	Source    configuration.Source
 	History   History
 	List      membership.List
--- a/admin/list.go
+++ b/admin/list.go
@@ -14,8 +14,8 @@
 	"bergamotcroft.example/bergamot/admin/adminv1"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -80,7 +80,7 @@
 	if err != nil {
 		return nil, unavailable(err)
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(objects, func(a, b store.Object) int { return cmp.Compare(a.Name, b.Name) })
 	out := make([]*adminv1.Object, len(objects))
 	for i, o := range objects {
 		out[i] = toObject(o)
@@ -88,7 +88,7 @@
 	return out, nil
 }
 
-func toObject(o platform.Object) *adminv1.Object {
+func toObject(o store.Object) *adminv1.Object {
 	return &adminv1.Object{Name: o.Name, Version: o.Version, Value: o.Value}
 }
 
@@ -260,7 +260,7 @@
 }
 
 // send passes a plan on if it is wanted and newer than what was sent.
-func (w *watcher) send(o platform.Object) (ended bool, err error) {
+func (w *watcher) send(o store.Object) (ended bool, err error) {
 	if w.plan != "" && o.Name != w.plan || w.sent[o.Name] >= o.Version {
 		return false, nil
 	}
--- a/capacity/probe_store.go
+++ b/capacity/probe_store.go
@@ -16,7 +16,7 @@
 	emulator "bergamotcroft.example/bergamot/emulator/platform"
 	"bergamotcroft.example/bergamot/lease"
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -51,7 +51,7 @@
 }
 
 // follower returns a node below another one in the tree of its data centre.
-func follower(store platform.Store, p *parent) *configuration.Node {
+func follower(store store.Store, p *parent) *configuration.Node {
 	members := []membership.Member{{Name: "a", DataCentre: "dc", State: membership.Alive}, {Name: "b", DataCentre: "dc", State: membership.Alive}}
 	for _, self := range members {
 		n := configuration.New(configuration.Options{Store: store, Members: &list{self, members}, Fetcher: p, Name: self.Name, Seed: 1})
@@ -170,12 +170,12 @@
 
 // putCounter counts the bytes of the writes.
 type putCounter struct {
-	platform.Store
+	store.Store
 	bytes atomic.Int64
 }
 
-// Put implements platform.Store.
-func (s *putCounter) Put(ctx context.Context, o platform.Object) (uint64, error) {
+// Put implements store.Store.
+func (s *putCounter) Put(ctx context.Context, o store.Object) (uint64, error) {
 	s.bytes.Add(int64(len(o.Value)))
 	return s.Store.Put(ctx, o)
 }
--- a/claims/archive.go
+++ b/claims/archive.go
@@ -12,7 +12,7 @@
 
 	"github.com/gravitational/trace"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -207,9 +207,9 @@
 	next.Sequence++
 	s.writes++
 	s.orphans = append(s.orphans, orphan{name, expected})
-	_, err = s.store.Put(ctx, platform.Object{Kind: topo.KindClaims, Name: name, Value: value})
-	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrOutcomeUnknown) {
-		return "", fmt.Errorf("%s not confirmed: %w", name, platform.ErrUnavailable) // the head is as it was
+	_, err = s.store.Put(ctx, store.Object{Kind: topo.KindClaims, Name: name, Value: value})
+	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrOutcomeUnknown) {
+		return "", fmt.Errorf("%s not confirmed: %w", name, store.ErrUnavailable) // the head is as it was
 	}
 	return name, err
 }
@@ -304,7 +304,7 @@
 // drop deletes an object and says whether it is gone.
 func (s *shardState) drop(ctx context.Context, name string) bool {
 	o, err := s.store.Get(ctx, topo.KindClaims, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return true
 	}
 	return err == nil && s.store.Delete(ctx, topo.KindClaims, name, o.Version) == nil
--- a/claims/batch.go
+++ b/claims/batch.go
@@ -9,7 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // errBusy refuses an op when too many wait for the same shard.
@@ -162,7 +162,7 @@
 	switch {
 	case err == nil:
 		b.backOff = 0
-	case errors.Is(err, platform.ErrRateLimited), errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrUnavailable):
 		b.backOff = min(max(2*b.backOff, minBackOff), maxBackOff)
 	}
 	pause := b.window
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -16,8 +16,8 @@
 	"bergamotcroft.example/bergamot/addresses"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/peer/peerv1"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // Peer reaches other entry VMs. *peer.Client is one.
@@ -28,7 +28,7 @@
 
 // Options configure a Service.
 type Options struct {
-	Store   platform.Store
+	Store   store.Store
 	Members membership.List
 	Peer    Peer // nil: every key is handled here
 	// Boot is the incarnation at the start of the process; 0: that of the member list.
--- a/claims/cost_test.go
+++ b/claims/cost_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 var highRate = flag.Bool("claims.high", false, "measure 4,500 bookings a second as well")
@@ -20,12 +20,12 @@
 
 const storeLatency = 5 * time.Millisecond
 
-func (s *slowStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *slowStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	time.Sleep(storeLatency)
 	return s.memory.Get(ctx, kind, name)
 }
 
-func (s *slowStore) Put(ctx context.Context, o platform.Object) (uint64, error) {
+func (s *slowStore) Put(ctx context.Context, o store.Object) (uint64, error) {
 	time.Sleep(storeLatency)
 	return s.memory.Put(ctx, o)
 }
--- a/claims/fake_test.go
+++ b/claims/fake_test.go
@@ -8,14 +8,14 @@
 
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/peer/peerv1"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // memory is the platform's store. Its writes are atomic.
 type memory struct {
-	platform.Store
+	store.Store
 	mu       sync.Mutex
-	objects  map[string]platform.Object
+	objects  map[string]store.Object
 	down     bool
 	lose     int // the next writes take effect and their answers are lost
 	limit    int // the next writes are refused by the rate limit
@@ -24,46 +24,46 @@
 	tooLarge int
 }
 
-func newMemory() *memory { return &memory{objects: map[string]platform.Object{}} }
+func newMemory() *memory { return &memory{objects: map[string]store.Object{}} }
 
-func (m *memory) Get(_ context.Context, kind, name string) (platform.Object, error) {
+func (m *memory) Get(_ context.Context, kind, name string) (store.Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.gets++
 	if m.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return store.Object{}, store.ErrUnavailable
 	}
 	o, ok := m.objects[kind+"/"+name]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, store.ErrNotFound
 	}
 	return o, nil
 }
 
-func (m *memory) Put(_ context.Context, o platform.Object) (uint64, error) {
+func (m *memory) Put(_ context.Context, o store.Object) (uint64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.puts++
 	if m.down {
-		return 0, platform.ErrUnavailable
+		return 0, store.ErrUnavailable
 	}
 	if m.limit > 0 {
 		m.limit--
-		return 0, platform.ErrRateLimited
+		return 0, store.ErrRateLimited
 	}
-	if len(o.Value) > platform.MaxValueBytes {
+	if len(o.Value) > store.MaxValueBytes {
 		m.tooLarge++
-		return 0, platform.ErrTooLarge
+		return 0, store.ErrTooLarge
 	}
 	id := o.Kind + "/" + o.Name
 	if m.objects[id].Version != o.Version {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
 	o.Version++
 	m.objects[id] = o
 	if m.lose > 0 {
 		m.lose--
-		return 0, platform.ErrOutcomeUnknown
+		return 0, store.ErrOutcomeUnknown
 	}
 	return o.Version, nil
 }
@@ -72,7 +72,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects[kind+"/"+name].Version != version {
-		return platform.ErrConflict
+		return store.ErrConflict
 	}
 	delete(m.objects, kind+"/"+name)
 	return nil
@@ -158,7 +158,7 @@
 }
 
 // fleet starts guards with the given names on one store, that all know one another.
-func fleet(store platform.Store, n *network, names ...string) []*Service {
+func fleet(store store.Store, n *network, names ...string) []*Service {
 	var all []membership.Member
 	for _, name := range names {
 		all = append(all, member(name, 1))
--- a/claims/guard_test.go
+++ b/claims/guard_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -241,10 +241,10 @@
 // expire before the retention or never.
 func TestSealingAndRetention(t *testing.T) {
 	is := is.New(t)
-	store := newMemory()
+	objects := newMemory()
 	now := time.Now()
 	open := func() *shardState {
-		return &shardState{name: "s", store: store, now: func() time.Time { return now }, retention: 24 * time.Hour, foldAt: 4}
+		return &shardState{name: "s", store: objects, now: func() time.Time { return now }, retention: 24 * time.Hour, foldAt: 4}
 	}
 	s := open()
 	body := make([]byte, 8<<10)
@@ -256,8 +256,8 @@
 	}
 	is.True(len(s.head.Archives) <= 4)
 	is.True(len(s.head.Indexes) > 0) // the older archives are folded
-	for _, o := range store.objects {
-		is.True(len(o.Value) < platform.MaxValueBytes/2)
+	for _, o := range objects.objects {
+		is.True(len(o.Value) < store.MaxValueBytes/2)
 	}
 	again := func(s *shardState, i int) outcome {
 		return s.process(t.Context(), []op{{kind: opBegin, key: keyHash("c", fmt.Sprint(i)), mark: 1000}})[0]
@@ -276,7 +276,7 @@
 		is.True(other.process(t.Context(), []op{{kind: opBegin, key: keyHash("c", now.String()), mark: 5}})[0].granted)
 	}
 	is.True(again(other, 5).granted) // after the retention the key is new
-	is.True(len(store.objects) < 40) // and the old objects are gone
+	is.True(len(objects.objects) < 40) // and the old objects are gone
 }
 
 // Guards against a batch of large answers that no object can hold, so that its outcomes are never recorded.
@@ -308,12 +308,12 @@
 // Guards against a shard that goes on without an archive that its head names.
 func TestMissingArchiveGrantsNothing(t *testing.T) {
 	is := is.New(t)
-	store := newMemory()
+	objects := newMemory()
 	value, err := topo.Encode(head{Archives: []archiveRef{{Name: "s/0-x"}}})
 	is.NoErr(err)
-	_, err = store.Put(t.Context(), platform.Object{Kind: topo.KindClaims, Name: "s", Value: value})
+	_, err = objects.Put(t.Context(), store.Object{Kind: topo.KindClaims, Name: "s", Value: value})
 	is.NoErr(err)
-	s := &shardState{name: "s", store: store, now: time.Now, retention: time.Hour}
+	s := &shardState{name: "s", store: objects, now: time.Now, retention: time.Hour}
 	res := s.process(t.Context(), []op{{kind: opBegin, key: "k", mark: 1}})[0]
 	is.True(!res.granted)
 	is.True(res.err != nil)
--- a/claims/machine_test.go
+++ b/claims/machine_test.go
@@ -15,7 +15,7 @@
 	_ "bergamotcroft.example/bergamot/internal/fixedseed"
 
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 var machineSteps = flag.Int("claims.steps", 120, "steps in each run of the state machine; rapid makes 100 runs by default")
@@ -137,14 +137,14 @@
 	m *machine
 }
 
-func (s *steppedStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *steppedStore) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	if _, err := s.m.block(ctx, nil); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return s.memory.Get(ctx, kind, name)
 }
 
-func (s *steppedStore) Put(ctx context.Context, o platform.Object) (uint64, error) {
+func (s *steppedStore) Put(ctx context.Context, o store.Object) (uint64, error) {
 	return s.m.block(ctx, func() (uint64, error) { return s.memory.Put(ctx, o) })
 }
 
@@ -211,16 +211,16 @@
 	case c.write == nil && mode < 8:
 		c.go_ <- func() (uint64, error) { return 0, nil }
 	case c.write == nil:
-		c.go_ <- func() (uint64, error) { return 0, platform.ErrUnavailable }
+		c.go_ <- func() (uint64, error) { return 0, store.ErrUnavailable }
 	case mode < 5:
 		c.go_ <- c.write
 	case mode < 7: // takes effect, and the answer is lost
-		c.go_ <- func() (uint64, error) { _, _ = c.write(); return 0, platform.ErrOutcomeUnknown }
+		c.go_ <- func() (uint64, error) { _, _ = c.write(); return 0, store.ErrOutcomeUnknown }
 	case mode < 9: // takes effect later, or never
 		m.delayed = append(m.delayed, func() { _, _ = c.write() })
-		c.go_ <- func() (uint64, error) { return 0, platform.ErrOutcomeUnknown }
+		c.go_ <- func() (uint64, error) { return 0, store.ErrOutcomeUnknown }
 	default:
-		c.go_ <- func() (uint64, error) { return 0, platform.ErrRateLimited }
+		c.go_ <- func() (uint64, error) { return 0, store.ErrRateLimited }
 	}
 }
 
--- a/claims/record.go
+++ b/claims/record.go
@@ -125,7 +125,7 @@
 // maxAnswerBytes bounds what is kept of an answer, so that some hundred fit into a head.
 const maxAnswerBytes = 16 << 10
 
-func store(a *Answer) (state, *storedAnswer) {
+func recorded(a *Answer) (state, *storedAnswer) {
 	if a == nil {
 		return unclear, nil
 	}
@@ -160,7 +160,7 @@
 			return outcome{}, false
 		}
 		e := *found
-		e.State, e.Answer = store(o.answer)
+		e.State, e.Answer = recorded(o.answer)
 		h.set(at, e)
 		return outcome{}, true
 	default:
--- a/claims/shard.go
+++ b/claims/shard.go
@@ -9,7 +9,7 @@
 
 	"github.com/gravitational/trace"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -26,7 +26,7 @@
 // shardState is this VM's copy of one shard. Its user serialises the calls.
 type shardState struct {
 	name      string
-	store     platform.Store
+	store     store.Store
 	now       func() time.Time
 	retention time.Duration
 	unchecked bool // tests only: writes without the version condition, to show that the checks notice
@@ -50,7 +50,7 @@
 	maybe := false
 	for try := 0; ; try++ {
 		err := s.load(ctx)
-		if errors.Is(err, platform.ErrRateLimited) && try+1 < writeTries {
+		if errors.Is(err, store.ErrRateLimited) && try+1 < writeTries {
 			pauseFor(try)
 			continue
 		}
@@ -70,11 +70,11 @@
 		switch {
 		case err == nil:
 			return results
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, store.ErrConflict):
 			s.loaded = false
-		case errors.Is(err, platform.ErrRateLimited) && try+1 < writeTries:
+		case errors.Is(err, store.ErrRateLimited) && try+1 < writeTries:
 			pauseFor(try)
-		case errors.Is(err, platform.ErrRateLimited), errors.Is(err, platform.ErrUnavailable):
+		case errors.Is(err, store.ErrRateLimited), errors.Is(err, store.ErrUnavailable):
 			return s.refuseWrites(results, ops, err, maybe)
 		default: // the write may have taken effect: read back and look for the marks
 			s.loaded, maybe = false, true
@@ -94,7 +94,7 @@
 // offline answers from memory and refuses what needs the store.
 func (s *shardState) offline(ctx context.Context, ops []op) []outcome {
 	if !s.loaded {
-		return failed(ops, platform.ErrUnavailable, false)
+		return failed(ops, store.ErrUnavailable, false)
 	}
 	next := s.head.clone()
 	results, changed, err := s.applyAll(ctx, &next, ops)
@@ -104,7 +104,7 @@
 	if !changed {
 		return results
 	}
-	return s.refuseWrites(results, ops, platform.ErrUnavailable, false)
+	return s.refuseWrites(results, ops, store.ErrUnavailable, false)
 }
 
 // refuseWrites keeps the outcomes that needed no write.
@@ -164,7 +164,7 @@
 		return nil
 	}
 	o, err := s.store.Get(ctx, topo.KindClaims, s.name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return err
 	}
 	h := head{}
@@ -211,7 +211,7 @@
 		}
 	}
 	s.writes++
-	version, err := s.store.Put(ctx, platform.Object{Kind: topo.KindClaims, Name: s.name, Version: expected, Value: value})
+	version, err := s.store.Put(ctx, store.Object{Kind: topo.KindClaims, Name: s.name, Version: expected, Value: value})
 	if err != nil {
 		return err
 	}
@@ -227,7 +227,7 @@
 		return s.version, nil
 	}
 	o, err := s.store.Get(ctx, topo.KindClaims, s.name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, nil
 	}
 	return o.Version, err
--- a/cmd/bergamot-emulator/main.go
+++ b/cmd/bergamot-emulator/main.go
@@ -16,8 +16,8 @@
 
 	"bergamotcroft.example/bergamot/emulator/fleet"
 	"bergamotcroft.example/bergamot/emulator/platform"
-	clientplatform "bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/replay"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // options are the flags of all commands.
@@ -79,8 +79,8 @@
 }
 
 func runPlatform(o options) error {
-	store := platform.New(platform.Options{Rates: clientplatform.DefaultRates})
-	server := &http.Server{Addr: o.listen, Handler: store.Handler(), ReadHeaderTimeout: 5 * time.Second}
+	emulated := platform.New(platform.Options{Rates: store.DefaultRates})
+	server := &http.Server{Addr: o.listen, Handler: emulated.Handler(), ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		wait()
 		_ = server.Close()
--- a/cmd/bergamotd/demo.go
+++ b/cmd/bergamotd/demo.go
@@ -15,9 +15,9 @@
 	"bergamotcroft.example/bergamot/emulator/engine"
 	"bergamotcroft.example/bergamot/emulator/platform"
 	"bergamotcroft.example/bergamot/emulator/service"
-	clientplatform "bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/server"
 	"bergamotcroft.example/bergamot/settings"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -79,7 +79,7 @@
 
 // startPlatform serves the platform's API and accepts the first configuration.
 func (f *fleet) startPlatform() error {
-	f.store = platform.New(platform.Options{Rates: clientplatform.DefaultRates})
+	f.store = platform.New(platform.Options{Rates: store.DefaultRates})
 	var err error
 	if f.platform, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return trace.Wrap(err)
--- a/configuration/accept.go
+++ b/configuration/accept.go
@@ -9,8 +9,8 @@
 
 	"github.com/gravitational/trace"
 
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -58,7 +58,7 @@
 // draft is a revision that is about to be written.
 type draft struct {
 	head   head // with the new entry
-	object platform.Object
+	object store.Object
 	before index
 	index  index
 	raw    []byte
@@ -96,7 +96,7 @@
 // prepare reads the head and makes the revision that follows it.
 func (n *Node) prepare(ctx context.Context, author string, c topo.Configuration) (d draft, err error) {
 	h, object, err := n.readHead(ctx)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return d, storeError(err)
 	}
 	last := h.entry()
@@ -118,7 +118,7 @@
 	}
 	e := Entry{
 		Revision: last.Revision + 1, Accepted: time.Now().UTC().Truncate(time.Millisecond), Author: author,
-		Index: hash(d.raw), Mark: platform.NewMark(n.opt.Name), Chunks: len(d.index.changed(d.before)),
+		Index: hash(d.raw), Mark: store.NewMark(n.opt.Name), Chunks: len(d.index.changed(d.before)),
 	}
 	d.head.History = append([]Entry{e}, h.History...)
 	d.head.History = d.head.History[:min(len(d.head.History), maxHistory)]
@@ -126,17 +126,17 @@
 }
 
 // writeHead is the acceptance. The mark is kept in the history, so that a lost answer is settled even after later revisions.
-func (n *Node) writeHead(ctx context.Context, h head, object platform.Object) error {
+func (n *Node) writeHead(ctx context.Context, h head, object store.Object) error {
 	e := h.entry()
 	value, err := topo.Encode(h)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	o := platform.Object{Kind: topo.KindConfiguration, Name: headName, Version: object.Version, Writer: e.Mark, Value: value}
-	_, err = platform.PutSettled(ctx, n.opt.Accept, o, func(now platform.Object) (applied, known bool) {
+	o := store.Object{Kind: topo.KindConfiguration, Name: headName, Version: object.Version, Writer: e.Mark, Value: value}
+	_, err = store.PutSettled(ctx, n.opt.Accept, o, func(now store.Object) (applied, known bool) {
 		return holds(now, e)
 	})
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		now, _, readErr := n.readHead(ctx)
 		if readErr == nil {
 			return conflict(e.Revision-1, now.entry())
@@ -147,7 +147,7 @@
 }
 
 // holds looks for a write's mark in a later head. Revisions are contiguous, so the entry with the same number tells.
-func holds(now platform.Object, e Entry) (applied, known bool) {
+func holds(now store.Object, e Entry) (applied, known bool) {
 	h, err := topo.Decode[head](now.Value)
 	if err != nil {
 		return false, false
@@ -167,16 +167,16 @@
 
 // storeError gives a store error its result code. A value beyond the store's limit is a fault of the configuration.
 func storeError(err error) error {
-	if errors.Is(err, platform.ErrTooLarge) {
+	if errors.Is(err, store.ErrTooLarge) {
 		return result.New(result.ConfigurationInvalid, "an object exceeds the store's limit").WithCause(err)
 	}
-	return platform.Coded(err)
+	return store.Coded(err)
 }
 
 // History returns the accepted revisions, newest first, as the store has them.
 func (n *Node) History(ctx context.Context) ([]Entry, error) {
 	h, _, err := n.readHead(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, nil
 	}
 	return h.History, storeError(err)
--- a/configuration/collect.go
+++ b/configuration/collect.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -16,7 +16,7 @@
 
 // listed are the chunks in the store before those of a revision were written. A chunk that a later revision refers to anew is written again
 // and gets another version, so that its removal under the listed version fails.
-type listed []platform.Object
+type listed []store.Object
 
 // listChunks prepares a removal if revision is due for one.
 func (n *Node) listChunks(ctx context.Context, revision uint64) listed {
@@ -72,10 +72,10 @@
 			continue
 		}
 		switch err := n.opt.Accept.Delete(ctx, o.Kind, o.Name, o.Version); {
-		case err == nil, errors.Is(err, platform.ErrOutcomeUnknown):
+		case err == nil, errors.Is(err, store.ErrOutcomeUnknown):
 			removed++
-		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
-		case errors.Is(err, platform.ErrRateLimited):
+		case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
+		case errors.Is(err, store.ErrRateLimited):
 			if err := n.opt.Clock.Sleep(ctx, n.opt.ConfirmEvery); err != nil {
 				return removed, err
 			}
--- a/configuration/figures_test.go
+++ b/configuration/figures_test.go
@@ -17,7 +17,7 @@
 
 	emulator "bergamotcroft.example/bergamot/emulator/platform"
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -88,7 +88,7 @@
 		time.Sleep(within + serving)
 		return a, err
 	}
-	return FetchAnswer{}, platform.ErrUnavailable
+	return FetchAnswer{}, store.ErrUnavailable
 }
 
 // fleet runs n nodes in data centres.
--- a/configuration/node.go
+++ b/configuration/node.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -32,12 +32,12 @@
 
 // Options configure a Node.
 type Options struct {
-	Store   platform.Store
-	Accept  platform.Store  // for the writes of Apply; nil: Store. An equal share between 2,200 VMs is too small for them
+	Store   store.Store
+	Accept  store.Store     // for the writes of Apply; nil: Store. An equal share between 2,200 VMs is too small for them
 	Members membership.List // nil: a single VM
 	Fetcher Fetcher         // nil: other VMs are never asked
 	Name    string          // first part of the writer marks
-	Clock   platform.Clock
+	Clock   store.Clock
 	Logger  *zap.Logger
 	Seed    uint64 // of the jitter; 0: random
 	// MaxUnconfirmed is how long new work is taken without a confirmation of the revision.
@@ -72,7 +72,7 @@
 // New returns a Node with defaults for what opt leaves out. It holds no configuration until Run has found one.
 func New(opt Options) *Node {
 	if opt.Clock == nil {
-		opt.Clock = platform.SystemClock{}
+		opt.Clock = store.SystemClock{}
 	}
 	if opt.Accept == nil {
 		opt.Accept = opt.Store
--- a/configuration/node_test.go
+++ b/configuration/node_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 
 	emulator "bergamotcroft.example/bergamot/emulator/platform"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -148,4 +148,4 @@
 	is.Equal(other.Current().Models[0].Name, "1")
 }
 
-var _ platform.Store = (*emulator.Store)(nil)
+var _ store.Store = (*emulator.Store)(nil)
--- a/configuration/run.go
+++ b/configuration/run.go
@@ -16,7 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // EventRevision is the broadcast event that tells of a revision in force. Its payload is the revision, 8 bytes big-endian.
@@ -140,7 +140,7 @@
 			failures++
 			unconfirmed.Inc()
 			n.opt.Logger.Warn("configuration not confirmed", zap.Error(err))
-			pause = max(platform.Backoff(failures), n.draw(n.opt.ConfirmEvery))
+			pause = max(store.Backoff(failures), n.draw(n.opt.ConfirmEvery))
 		case at == 0:
 			failures = 0
 			pause = n.opt.ConfirmEvery*3/4 + n.draw(n.opt.ConfirmEvery/4)
@@ -330,7 +330,7 @@
 			continue
 		}
 		failures++
-		_ = n.opt.Clock.Sleep(ctx, platform.Backoff(failures))
+		_ = n.opt.Clock.Sleep(ctx, store.Backoff(failures))
 	}
 	return nil
 }
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -7,17 +7,17 @@
 
 	"github.com/gravitational/trace"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
 // listAbove is the number of missing chunks above which one list call replaces single reads.
 const listAbove = 16
 
-func (n *Node) readHead(ctx context.Context) (head, platform.Object, error) {
+func (n *Node) readHead(ctx context.Context) (head, store.Object, error) {
 	o, err := n.opt.Store.Get(ctx, topo.KindConfiguration, headName)
 	if err != nil {
-		return head{}, platform.Object{}, err
+		return head{}, store.Object{}, err
 	}
 	n.mu.Lock()
 	h, same := n.head, o.Version == n.headAt
@@ -63,21 +63,21 @@
 // writeChunk stores a chunk under its hash. A chunk that exists already is written again under its version: a clean-up that
 // runs at the same time then fails to delete it.
 func (n *Node) writeChunk(ctx context.Context, ref string, value []byte) error {
-	o := platform.Object{Kind: topo.KindConfiguration, Name: chunkPrefix + ref, Value: value}
+	o := store.Object{Kind: topo.KindConfiguration, Name: chunkPrefix + ref, Value: value}
 	for range applyAttempts {
-		_, err := platform.PutSettled(ctx, n.opt.Accept, o, func(now platform.Object) (bool, bool) {
+		_, err := store.PutSettled(ctx, n.opt.Accept, o, func(now store.Object) (bool, bool) {
 			return hash(now.Value) == ref, true
 		})
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
 		now, err := n.opt.Store.Get(ctx, topo.KindConfiguration, o.Name)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		if err != nil && !errors.Is(err, store.ErrNotFound) {
 			return err
 		}
 		o.Version, o.Writer = now.Version, ""
 	}
-	return trace.Wrap(platform.ErrConflict)
+	return trace.Wrap(store.ErrConflict)
 }
 
 // readStore reads the head, adopts a higher revision and confirms the one in force.
@@ -86,7 +86,7 @@
 	defer cancel()
 	asked := n.opt.Clock.Now()
 	h, _, err := n.readHead(ctx)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil // nothing accepted yet
 	}
 	if err != nil {
@@ -157,7 +157,7 @@
 // WatchOnce waits for one round of changes in the store. It returns the revision to watch from next. Run calls it in a loop.
 func (n *Node) WatchOnce(ctx context.Context, from uint64) (uint64, error) {
 	events, next, err := n.opt.Store.Watch(ctx, topo.KindConfiguration, from)
-	if errors.Is(err, platform.ErrWatchGap) {
+	if errors.Is(err, store.ErrWatchGap) {
 		return n.watchStart(ctx)
 	}
 	if err != nil {
--- a/control/confirmations.go
+++ b/control/confirmations.go
@@ -4,8 +4,8 @@
 	"context"
 	"slices"
 
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -17,7 +17,7 @@
 	return read[topo.Confirmations](ctx, o.Store, topo.KindConfirmations, topo.ConfirmationsName)
 }
 
-func (o *Options) writeConfirmations(ctx context.Context, r record[topo.Confirmations], contains platform.Contains) error {
+func (o *Options) writeConfirmations(ctx context.Context, r record[topo.Confirmations], contains store.Contains) error {
 	_, err := write(ctx, o, topo.KindConfirmations, topo.ConfirmationsName, r, contains)
 	return err
 }
@@ -45,8 +45,8 @@
 
 // marked says whether a later value of the object still has the entry with this mark. An entry that is gone can't be told
 // from one that never was.
-func marked(mark string) platform.Contains {
-	return func(now platform.Object) (applied, known bool) {
+func marked(mark string) store.Contains {
+	return func(now store.Object) (applied, known bool) {
 		c, err := topo.Decode[topo.Confirmations](now.Value)
 		if err != nil {
 			return false, false
--- a/control/drain.go
+++ b/control/drain.go
@@ -9,7 +9,7 @@
 
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -100,7 +100,7 @@
 func (c *Controller) entryVMs(ctx context.Context, revision uint64) (total int, behind, unsure []string, err error) {
 	vms, err := c.opt.Store.VMs(ctx)
 	if err != nil {
-		return 0, nil, nil, platform.Coded(err)
+		return 0, nil, nil, store.Coded(err)
 	}
 	known := map[string]bool{}
 	for _, m := range c.opt.List.Members() {
--- a/control/fakestore_test.go
+++ b/control/fakestore_test.go
@@ -5,14 +5,14 @@
 	"strings"
 	"time"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
 // fakeStore is the store of a world. It checks each write of a plan.
 type fakeStore struct {
 	w       *world
-	objects map[string]platform.Object
+	objects map[string]store.Object
 	history map[uint64]*topo.Configuration
 	down    bool
 }
@@ -24,15 +24,15 @@
 
 func (s *fakeStore) putRaw(kind, name string, v any) {
 	b, _ := topo.Encode(v)
-	s.apply(platform.Object{Kind: kind, Name: name, Writer: s.w.mark(), Value: b})
+	s.apply(store.Object{Kind: kind, Name: name, Writer: s.w.mark(), Value: b})
 }
 
 // apply writes o if its version is the stored one.
-func (s *fakeStore) apply(o platform.Object) (uint64, error) {
+func (s *fakeStore) apply(o store.Object) (uint64, error) {
 	key := o.Kind + "/" + o.Name
 	before := s.objects[key]
 	if before.Version != o.Version {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
 	if o.Kind == topo.KindPlan {
 		s.w.checkPlanWrite(before, o)
@@ -51,26 +51,26 @@
 
 func (s vmStore) reachable() error {
 	if s.partitioned || s.w.store.down {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-func (s vmStore) Get(_ context.Context, kind, name string) (platform.Object, error) {
+func (s vmStore) Get(_ context.Context, kind, name string) (store.Object, error) {
 	s.reads++
 	s.call("get " + kind)
 	if err := s.reachable(); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	o, ok := s.w.store.objects[kind+"/"+name]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, store.ErrNotFound
 	}
 	return o, nil
 }
 
-func (s vmStore) List(_ context.Context, kind, prefix string) ([]platform.Object, uint64, error) {
-	var all []platform.Object
+func (s vmStore) List(_ context.Context, kind, prefix string) ([]store.Object, uint64, error) {
+	var all []store.Object
 	for k, o := range s.w.store.objects {
 		if strings.HasPrefix(k, kind+"/"+prefix) {
 			all = append(all, o)
@@ -80,7 +80,7 @@
 }
 
 // Put may lose its answer, with and without an effect.
-func (s vmStore) Put(_ context.Context, o platform.Object) (uint64, error) {
+func (s vmStore) Put(_ context.Context, o store.Object) (uint64, error) {
 	s.writes++
 	s.call("put " + o.Kind)
 	if err := s.reachable(); err != nil {
@@ -91,12 +91,12 @@
 		lost = s.w.pick(9+1, "answer")
 	}
 	if lost == 0 {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, store.ErrOutcomeUnknown
 	}
 	version, err := s.w.store.apply(o)
 	s.call("after put " + o.Kind)
 	if lost == 1 {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, store.ErrOutcomeUnknown
 	}
 	return version, err
 }
@@ -106,20 +106,20 @@
 	return nil
 }
 
-func (s vmStore) Watch(context.Context, string, uint64) ([]platform.Event, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+func (s vmStore) Watch(context.Context, string, uint64) ([]store.Event, uint64, error) {
+	return nil, 0, store.ErrUnavailable
 }
 
-func (s vmStore) VMs(context.Context) ([]platform.VM, error) {
+func (s vmStore) VMs(context.Context) ([]store.VM, error) {
 	s.reads++
-	var list []platform.VM
+	var list []store.VM
 	for _, v := range s.w.vms {
-		list = append(list, platform.VM{Name: v.name})
+		list = append(list, store.VM{Name: v.name})
 	}
 	return list, s.reachable()
 }
 
-var _ platform.Store = vmStore{}
+var _ store.Store = vmStore{}
 
 var _ Clock = (*world)(nil)
 
--- a/control/invariants_test.go
+++ b/control/invariants_test.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -91,7 +91,7 @@
 }
 
 // checkPlanWrite holds each change of a plan object against the invariants.
-func (w *world) checkPlanWrite(before, after platform.Object) {
+func (w *world) checkPlanWrite(before, after store.Object) {
 	b, _ := topo.Decode[topo.Plan](after.Value)
 	if before.Version == 0 {
 		return
--- a/control/options.go
+++ b/control/options.go
@@ -20,7 +20,7 @@
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/orders"
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -128,7 +128,7 @@
 	Self string // name of this entry VM
 	// Store has the share for leases and orders: only the holders of groups use it, and an equal part of the general share would
 	// give each of 2,200 VMs less than one call a second.
-	Store          platform.Store
+	Store          store.Store
 	Configurations Configurations
 	Reports        Reports
 	Facts          Facts
@@ -154,7 +154,7 @@
 	}
 	if o.Mark == nil {
 		name := o.Self
-		o.Mark = func() string { return platform.NewMark(name) }
+		o.Mark = func() string { return store.NewMark(name) }
 	}
 	if o.Estimates == (plan.Estimates{}) {
 		o.Estimates = plan.DefaultEstimates
--- a/control/prune.go
+++ b/control/prune.go
@@ -8,7 +8,7 @@
 
 	"go.uber.org/zap"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -35,7 +35,7 @@
 		c.opt.Logger.Warn("plans not pruned", zap.Error(err))
 		return
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) }) // oldest first
+	slices.SortFunc(objects, func(a, b store.Object) int { return strings.Compare(a.Name, b.Name) }) // oldest first
 	for _, o := range objects[:max(0, len(objects)-keptPlans)] {
 		p, err := topo.Decode[topo.Plan](o.Value)
 		old := p.State == topo.PlanProposed && now.Sub(p.Created) > proposalsLast
--- a/control/races_test.go
+++ b/control/races_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -111,7 +111,7 @@
 	effect bool           // the lost write has taken effect
 }
 
-func (s *lossy) Put(ctx context.Context, o platform.Object) (uint64, error) {
+func (s *lossy) Put(ctx context.Context, o store.Object) (uint64, error) {
 	if s.lose[o.Kind] == 0 {
 		return s.vmStore.Put(ctx, o)
 	}
@@ -121,7 +121,7 @@
 			return 0, err
 		}
 	}
-	return 0, platform.ErrOutcomeUnknown
+	return 0, store.ErrOutcomeUnknown
 }
 
 // An operator whose confirmation loses its answer must learn what really happened, and the plan must run once.
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -7,7 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -26,7 +26,7 @@
 	if errors.Is(err, errReadOnly) {
 		return got, nil
 	}
-	return nil, platform.Coded(err)
+	return nil, store.Coded(err)
 }
 
 // loads asks the named upstreams for their load. One that does not answer in time counts as unreachable.
@@ -81,7 +81,7 @@
 	for _, n := range names {
 		w, known, err := o.Facts.Weight(ctx, n)
 		if err != nil {
-			return platform.Coded(err)
+			return store.Coded(err)
 		}
 		if !known {
 			continue
--- a/control/store.go
+++ b/control/store.go
@@ -6,8 +6,8 @@
 
 	"github.com/gravitational/trace"
 
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -18,13 +18,13 @@
 }
 
 // read returns an object, or the zero record when there is none.
-func read[T any](ctx context.Context, s platform.Store, kind, name string) (record[T], error) {
+func read[T any](ctx context.Context, s store.Store, kind, name string) (record[T], error) {
 	o, err := s.Get(ctx, kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return record[T]{}, nil
 	}
 	if err != nil {
-		return record[T]{}, platform.Coded(err)
+		return record[T]{}, store.Coded(err)
 	}
 	v, err := topo.Decode[T](o.Value)
 	if err != nil {
@@ -34,14 +34,14 @@
 }
 
 // write updates an object on condition that its version is r.version, and settles a lost answer by read-back.
-func write[T any](ctx context.Context, opt *Options, kind, name string, r record[T], contains platform.Contains) (uint64, error) {
+func write[T any](ctx context.Context, opt *Options, kind, name string, r record[T], contains store.Contains) (uint64, error) {
 	b, err := topo.Encode(r.value)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	o := platform.Object{Kind: kind, Name: name, Version: r.version, Writer: opt.Mark(), Value: b}
-	version, err := platform.PutSettled(ctx, opt.Store, o, contains)
-	return version, platform.Coded(err)
+	o := store.Object{Kind: kind, Name: name, Version: r.version, Writer: opt.Mark(), Value: b}
+	version, err := store.PutSettled(ctx, opt.Store, o, contains)
+	return version, store.Coded(err)
 }
 
 // reread says whether a failed write calls for a fresh look at the object rather than an error.
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -12,8 +12,8 @@
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/orders"
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -83,7 +83,7 @@
 func newWorld(tb rapid.TB) *world {
 	t, faulty := tb.(*rapid.T)
 	w := &world{t: t, tb: tb, calm: !faulty, now: time.Unix(1_000_000, 0), engines: map[string]*fakeEngine{}}
-	w.store = &fakeStore{w: w, objects: map[string]platform.Object{}, history: map[uint64]*topo.Configuration{}}
+	w.store = &fakeStore{w: w, objects: map[string]store.Object{}, history: map[uint64]*topo.Configuration{}}
 	c := &topo.Configuration{Revision: 1, Models: []topo.Model{{Name: "m1", Version: "v1"}}, Accounts: []topo.Account{{Caller: "clinic"}}}
 	for _, n := range []string{"e1", "e2", "e3", "e4"} {
 		c.Upstreams = append(c.Upstreams, topo.Upstream{
--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -24,7 +24,7 @@
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/orders"
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 	"bergamotcroft.example/bergamot/upstream"
 )
@@ -99,7 +99,7 @@
 	v := &entryVM{name: name, fleet: f, http: upstream.New(upstream.Options{
 		EntryVM: name, DialTimeout: patience, HeaderTimeout: patience, ControlLimit: patience,
 	})}
-	client := platform.NewClient(platform.Options{BaseURL: f.url, Name: name, Groups: 4, Timeout: patience, Members: func() int { return 2 }})
+	client := store.NewClient(store.Options{BaseURL: f.url, Name: name, Groups: 4, Timeout: patience, Members: func() int { return 2 }})
 	v.node = configuration.New(configuration.Options{Store: client, Members: v, Name: name})
 	v.leases = lease.New(lease.Options{Store: client.Authority(), Members: v, Name: name, Incarnation: 1, Groups: 4, Term: time.Second})
 	reports := control.UpstreamReports{Client: v.http}
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -18,7 +18,7 @@
 
 	"bergamotcroft.example/bergamot/configuration"
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -35,7 +35,7 @@
 type Options struct {
 	Members membership.List
 	Source  configuration.Source // which upstreams there are
-	VMs     func(context.Context) ([]platform.VM, error)
+	VMs     func(context.Context) ([]store.VM, error)
 	// Check asks an upstream for its health. It must end with the context.
 	Check func(context.Context, topo.Upstream) Health
 	// Subset limits the checks to the upstreams that this VM uses; nil: all.
@@ -243,10 +243,10 @@
 
 // SetList takes the platform's VM list. An upstream that is missing from it is not marked: the list lags, and new VMs
 // appear late.
-func (t *Tracker) SetList(vms []platform.VM) {
+func (t *Tracker) SetList(vms []store.VM) {
 	leaving := map[string]bool{}
 	for _, vm := range vms {
-		if vm.Upstream && vm.State == platform.VMLeaving {
+		if vm.Upstream && vm.State == store.VMLeaving {
 			leaving[vm.Name], leaving[vm.Address] = true, true
 		}
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -15,7 +15,7 @@
 	_ "bergamotcroft.example/bergamot/internal/fixedseed"
 
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -57,7 +57,7 @@
 // world is what the trackers look at.
 type world struct {
 	mu     sync.Mutex
-	vms    []platform.VM
+	vms    []store.VM
 	down   bool // the VM list
 	health map[string]Health
 	reads  map[string]int
@@ -92,7 +92,7 @@
 		var ts []*Tracker
 		for _, m := range all {
 			tr, err := New(Options{Members: &list{bus: b, self: m, all: all},
-				VMs: func(context.Context) ([]platform.VM, error) {
+				VMs: func(context.Context) ([]store.VM, error) {
 					w.mu.Lock()
 					defer w.mu.Unlock()
 					w.reads[m.Name]++
@@ -136,7 +136,7 @@
 func TestNoNewWorkAfterThreeSeconds(t *testing.T) {
 	signs := map[string]func(w *world, ts []*Tracker){
 		"vm list": func(w *world, _ []*Tracker) {
-			w.vms = []platform.VM{{Name: "e1", Upstream: true, State: platform.VMLeaving}}
+			w.vms = []store.VM{{Name: "e1", Upstream: true, State: store.VMLeaving}}
 		},
 		"own answer": func(w *world, _ []*Tracker) { w.health["e1"] = Health{Reachable: true, Leaving: true} },
 		"own check":  func(w *world, _ []*Tracker) { w.health["e1"] = Health{} },
@@ -189,7 +189,7 @@
 	bad := map[string]func(w *world, b *bus, ts []*Tracker){
 		"vm list": func(w *world, _ *bus, _ []*Tracker) {
 			for _, u := range engines(9) {
-				w.vms = append(w.vms, platform.VM{Name: u.Name, Upstream: true, State: platform.VMLeaving})
+				w.vms = append(w.vms, store.VM{Name: u.Name, Upstream: true, State: store.VMLeaving})
 			}
 		},
 		"peer": func(_ *world, b *bus, _ []*Tracker) {
@@ -223,7 +223,7 @@
 	with(t, 20, func(t *testing.T, w *world, b *bus, ts []*Tracker) {
 		is := is.New(t)
 		w.set(func() {
-			w.vms = []platform.VM{{Name: "e1", Upstream: true, State: platform.VMLeaving}}
+			w.vms = []store.VM{{Name: "e1", Upstream: true, State: store.VMLeaving}}
 			clear(w.reads)
 		})
 		time.Sleep(time.Minute)
--- a/emulator/platform/http.go
+++ b/emulator/platform/http.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strconv"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // Handler serves the store, the VM list and the weight store over HTTP.
@@ -19,7 +19,7 @@
 	})
 	mux.HandleFunc("GET /v1/objects/{kind}", func(w http.ResponseWriter, r *http.Request) {
 		objects, revision, err := s.List(r.Context(), r.PathValue("kind"), r.FormValue("prefix"))
-		answer(w, platform.Listing{Objects: objects, Revision: revision}, err)
+		answer(w, store.Listing{Objects: objects, Revision: revision}, err)
 	})
 	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.serveWrite)
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.serveWrite)
@@ -36,24 +36,24 @@
 }
 
 func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
-	version, err := strconv.ParseUint(r.Header.Get(platform.HeaderVersion), 10, 64)
+	version, err := strconv.ParseUint(r.Header.Get(store.HeaderVersion), 10, 64)
 	if err != nil {
 		http.Error(w, "header If-Version is missing or not a number", http.StatusBadRequest)
 		return
 	}
 	kind, name := r.PathValue("kind"), r.PathValue("name")
 	if r.Method == http.MethodDelete {
-		answer(w, platform.Written{}, s.Delete(r.Context(), kind, name, version))
+		answer(w, store.Written{}, s.Delete(r.Context(), kind, name, version))
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+	body, err := io.ReadAll(io.LimitReader(r.Body, store.MaxValueBytes+1))
 	if err != nil {
 		http.Error(w, "body could not be read", http.StatusBadRequest)
 		return
 	}
-	o := platform.Object{Kind: kind, Name: name, Version: version, Writer: r.Header.Get(platform.HeaderWriter), Value: body}
+	o := store.Object{Kind: kind, Name: name, Version: version, Writer: r.Header.Get(store.HeaderWriter), Value: body}
 	v, err := s.Put(r.Context(), o)
-	answer(w, platform.Written{Version: v}, err)
+	answer(w, store.Written{Version: v}, err)
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
@@ -63,25 +63,25 @@
 		return
 	}
 	events, next, err := s.Watch(r.Context(), r.PathValue("kind"), from)
-	answer(w, platform.Changes{Events: events, Next: next}, err)
+	answer(w, store.Changes{Events: events, Next: next}, err)
 }
 
 var statuses = []struct {
 	err    error
 	status int
 }{
-	{platform.ErrNotFound, http.StatusNotFound},
+	{store.ErrNotFound, http.StatusNotFound},
 	{ErrUnknownWeight, http.StatusNotFound},
-	{platform.ErrConflict, http.StatusConflict},
-	{platform.ErrRateLimited, http.StatusTooManyRequests},
-	{platform.ErrUnavailable, http.StatusServiceUnavailable},
-	{platform.ErrTooLarge, http.StatusRequestEntityTooLarge},
-	{platform.ErrWatchGap, http.StatusGone},
+	{store.ErrConflict, http.StatusConflict},
+	{store.ErrRateLimited, http.StatusTooManyRequests},
+	{store.ErrUnavailable, http.StatusServiceUnavailable},
+	{store.ErrTooLarge, http.StatusRequestEntityTooLarge},
+	{store.ErrWatchGap, http.StatusGone},
 }
 
 // answer writes v or the status of err. A lost answer closes the connection without one.
 func answer(w http.ResponseWriter, v any, err error) {
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, store.ErrOutcomeUnknown) {
 		panic(http.ErrAbortHandler)
 	}
 	for _, s := range statuses {
--- a/emulator/platform/store.go
+++ b/emulator/platform/store.go
@@ -16,14 +16,14 @@
 
 	"golang.org/x/time/rate"
 
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // Options configure a Store. Zero rates mean no limit.
 type Options struct {
-	Rates        platform.Rates
+	Rates        store.Rates
 	WatchTimeout time.Duration // 0: 5 s
-	Clock        platform.Clock
+	Clock        store.Clock
 	Seed         uint64
 	Weights      map[string]Weight // by "model@version"
 }
@@ -65,7 +65,7 @@
 }
 
 type record struct {
-	object  platform.Object
+	object  store.Object
 	deleted bool
 }
 
@@ -74,7 +74,7 @@
 type event struct {
 	revision uint64
 	at       time.Time
-	platform.Event
+	store.Event
 }
 
 // Store is the stand-in. It is safe for concurrent use.
@@ -88,7 +88,7 @@
 	log      []event
 	changed  chan struct{} // closed at the next write
 	dropped  uint64        // revision of the newest event that the log has lost
-	vms      []past[[]platform.VM]
+	vms      []past[[]store.VM]
 	counts   Counts
 	// downloads is when the last download of each version ends.
 	downloads map[string]time.Time
@@ -96,12 +96,12 @@
 	writes    *rate.Limiter
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ store.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New(opt Options) *Store {
 	if opt.Clock == nil {
-		opt.Clock = platform.SystemClock{}
+		opt.Clock = store.SystemClock{}
 	}
 	if opt.WatchTimeout <= 0 {
 		opt.WatchTimeout = defaultWatchTimeout
@@ -141,10 +141,10 @@
 }
 
 // SetVMs replaces the VM list.
-func (s *Store) SetVMs(vms []platform.VM) {
+func (s *Store) SetVMs(vms []store.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vms = append(s.vms, past[[]platform.VM]{s.opt.Clock.Now(), slices.Clone(vms)})
+	s.vms = append(s.vms, past[[]store.VM]{s.opt.Clock.Now(), slices.Clone(vms)})
 }
 
 // begin counts a call, takes it out of a rate and applies outage and slowness.
@@ -159,13 +159,13 @@
 	}
 	s.mu.Unlock()
 	if !taken {
-		return platform.ErrRateLimited
+		return store.ErrRateLimited
 	}
 	if delay > 0 && s.opt.Clock.Sleep(ctx, delay) != nil {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	if down {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
@@ -188,60 +188,60 @@
 }
 
 // Get returns an object, or ErrNotFound.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *Store) Get(ctx context.Context, kind, name string) (store.Object, error) {
 	if err := s.begin(ctx, s.reads, &s.counts.Reads); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r, ok := s.asOf(key{kind, name}, s.chance(s.faults.StaleReads))
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	return clone(r.object), nil
 }
 
-func clone(o platform.Object) platform.Object {
+func clone(o store.Object) store.Object {
 	o.Value = slices.Clone(o.Value)
 	return o
 }
 
 // List returns the objects of a kind whose names begin with prefix.
-func (s *Store) List(ctx context.Context, kind, prefix string) ([]platform.Object, uint64, error) {
+func (s *Store) List(ctx context.Context, kind, prefix string) ([]store.Object, uint64, error) {
 	if err := s.begin(ctx, s.reads, &s.counts.Reads); err != nil {
 		return nil, 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	stale := s.chance(s.faults.StaleReads)
-	var found []platform.Object
+	var found []store.Object
 	for k := range s.objects {
 		if r, ok := s.asOf(k, stale); ok && k.kind == kind && strings.HasPrefix(k.name, prefix) {
 			found = append(found, clone(r.object))
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Object) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(found, func(a, b store.Object) int { return cmp.Compare(a.Name, b.Name) })
 	return found, s.revision, nil
 }
 
 // Put writes o if the stored version equals o.Version.
-func (s *Store) Put(ctx context.Context, o platform.Object) (uint64, error) {
-	if len(o.Value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+func (s *Store) Put(ctx context.Context, o store.Object) (uint64, error) {
+	if len(o.Value) > store.MaxValueBytes {
+		return 0, store.ErrTooLarge
 	}
 	if o.Writer == "" {
-		o.Writer = platform.NewMark("")
+		o.Writer = store.NewMark("")
 	}
 	return s.write(ctx, o, false)
 }
 
 // Delete removes an object if its version equals version.
 func (s *Store) Delete(ctx context.Context, kind, name string, version uint64) error {
-	_, err := s.write(ctx, platform.Object{Kind: kind, Name: name, Version: version}, true)
+	_, err := s.write(ctx, store.Object{Kind: kind, Name: name, Version: version}, true)
 	return err
 }
 
-func (s *Store) write(ctx context.Context, o platform.Object, remove bool) (uint64, error) {
+func (s *Store) write(ctx context.Context, o store.Object, remove bool) (uint64, error) {
 	if err := s.begin(ctx, s.writes, &s.counts.Writes); err != nil {
 		return 0, err
 	}
@@ -253,17 +253,17 @@
 		now.object.Version = 0
 	}
 	if now.object.Version != o.Version {
-		return 0, platform.ErrConflict
+		return 0, store.ErrConflict
 	}
 	s.apply(k, clone(o), remove)
 	if s.chance(s.faults.LoseAnswers) {
-		return 0, platform.ErrOutcomeUnknown
+		return 0, store.ErrOutcomeUnknown
 	}
 	return s.revision, nil
 }
 
 // apply stores a write. Versions are numbered over the whole store, so that a name never sees a version twice.
-func (s *Store) apply(k key, o platform.Object, remove bool) {
+func (s *Store) apply(k key, o store.Object, remove bool) {
 	s.revision++
 	o.Version = s.revision
 	at := s.opt.Clock.Now()
@@ -272,7 +272,7 @@
 		h = slices.Delete(h, 0, len(h)-maxHistory)
 	}
 	s.objects[k] = h
-	s.log = append(s.log, event{s.revision, at, platform.Event{Object: o, Deleted: remove}})
+	s.log = append(s.log, event{s.revision, at, store.Event{Object: o, Deleted: remove}})
 	s.wake()
 	if len(s.log) > maxLog {
 		s.dropped = s.log[0].revision
@@ -281,7 +281,7 @@
 }
 
 // Watch waits until objects of a kind have changed after revision from.
-func (s *Store) Watch(ctx context.Context, kind string, from uint64) ([]platform.Event, uint64, error) {
+func (s *Store) Watch(ctx context.Context, kind string, from uint64) ([]store.Event, uint64, error) {
 	if err := s.begin(ctx, s.reads, &s.counts.Watches); err != nil {
 		return nil, from, err
 	}
@@ -294,7 +294,7 @@
 			return events, next, err
 		}
 		if s.waitChange(ctx, end) != nil {
-			return nil, from, platform.ErrUnavailable
+			return nil, from, store.ErrUnavailable
 		}
 	}
 }
@@ -304,7 +304,7 @@
 	s.mu.Lock()
 	changed, late := s.changed, s.faults.WatchDelay > 0
 	s.mu.Unlock()
-	if _, ok := s.opt.Clock.(platform.SystemClock); !ok || late {
+	if _, ok := s.opt.Clock.(store.SystemClock); !ok || late {
 		return s.opt.Clock.Sleep(ctx, watchPoll)
 	}
 	timer := time.NewTimer(time.Until(end))
@@ -330,17 +330,17 @@
 	}
 }
 
-func (s *Store) changes(kind string, from uint64) ([]platform.Event, uint64, error) {
+func (s *Store) changes(kind string, from uint64) ([]store.Event, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.faults.Down:
-		return nil, from, platform.ErrUnavailable
+		return nil, from, store.ErrUnavailable
 	case from < s.dropped:
-		return nil, from, platform.ErrWatchGap
+		return nil, from, store.ErrWatchGap
 	}
 	seen := s.opt.Clock.Now().Add(-s.faults.WatchDelay)
-	var events []platform.Event
+	var events []store.Event
 	next := from
 	start, _ := slices.BinarySearchFunc(s.log, from+1, func(e event, r uint64) int { return cmp.Compare(e.revision, r) })
 	for _, e := range s.log[start:] {
@@ -349,17 +349,17 @@
 		}
 		next = e.revision
 		if e.Object.Kind == kind {
-			events = append(events, platform.Event{Object: clone(e.Object), Deleted: e.Deleted})
+			events = append(events, store.Event{Object: clone(e.Object), Deleted: e.Deleted})
 		}
 	}
 	if len(events) > 0 && s.chance(s.faults.WatchGaps) {
-		return nil, from, platform.ErrWatchGap
+		return nil, from, store.ErrWatchGap
 	}
 	return events, next, nil
 }
 
 // VMs returns the VM list, which lags by Faults.VMLag.
-func (s *Store) VMs(ctx context.Context) ([]platform.VM, error) {
+func (s *Store) VMs(ctx context.Context) ([]store.VM, error) {
 	if err := s.begin(ctx, s.reads, &s.counts.Reads); err != nil {
 		return nil, err
 	}
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -41,7 +41,7 @@
 
 // Options configure a Manager.
 type Options struct {
-	Store       platform.Store  // with the share for leases and orders
+	Store       store.Store     // with the share for leases and orders
 	Members     membership.List // nil: this VM alone
 	Name        string          // of this entry VM
 	Incarnation uint64          // differs for each start of the process
@@ -53,7 +53,7 @@
 	HandBackAfter time.Duration
 	// Busy says whether an order of the group is under way; such a group is not handed back. nil: never.
 	Busy   func(group int) bool
-	Clock  platform.Clock
+	Clock  store.Clock
 	Logger *zap.Logger
 	Seed   uint64 // of the jitter; 0: random
 }
@@ -117,7 +117,7 @@
 		opt.Busy = func(int) bool { return false }
 	}
 	if opt.Clock == nil {
-		opt.Clock = platform.SystemClock{}
+		opt.Clock = store.SystemClock{}
 	}
 	if opt.Logger == nil {
 		opt.Logger = zap.NewNop()
@@ -235,7 +235,7 @@
 	default:
 		err = m.observe(ctx, g)
 	}
-	if errors.Is(err, platform.ErrUnavailable) || (err != nil && ctx.Err() != nil) {
+	if errors.Is(err, store.ErrUnavailable) || (err != nil && ctx.Err() != nil) {
 		m.outage()
 		return false
 	}
@@ -247,7 +247,7 @@
 // the former holders renew before anyone else may take over.
 func (m *Manager) outage() {
 	m.failures++
-	m.resume = m.opt.Clock.Now().Add(platform.BackoffFrom(m.rng, m.failures))
+	m.resume = m.opt.Clock.Now().Add(store.BackoffFrom(m.rng, m.failures))
 	for g := range m.groups {
 		if s := &m.groups[g]; !s.mine {
 			s.first = time.Time{}
@@ -268,11 +268,11 @@
 	if err != nil {
 		return 0, err
 	}
-	o := platform.Object{
+	o := store.Object{
 		Kind: topo.KindLease, Name: m.object(l.Group), Version: version, Value: value,
-		Writer: platform.NewMark(m.opt.Name),
+		Writer: store.NewMark(m.opt.Name),
 	}
-	return platform.PutSettled(ctx, m.opt.Store, o, nil)
+	return store.PutSettled(ctx, m.opt.Store, o, nil)
 }
 
 // object names a lease. The number of groups is part of the name, so that VMs with different numbers don't share leases.
@@ -313,11 +313,11 @@
 	case err == nil:
 		renewals.Inc()
 		m.set(g, version, l, sent)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		lost.Inc()
 		m.opt.Logger.Warn("lease lost", zap.Int("group", g), zap.Uint64("fencing", l.Fencing))
 		m.drop(g, false)
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		m.drop(g, true) // the next read tells whether it is still ours
 	default:
 		m.groups[g].next = m.opt.Clock.Now().Add(m.interval() / 2)
@@ -354,10 +354,10 @@
 	return m.take(ctx, g, o.Version, l)
 }
 
-func (m *Manager) read(ctx context.Context, g int) (platform.Object, topo.Lease, error) {
+func (m *Manager) read(ctx context.Context, g int) (store.Object, topo.Lease, error) {
 	o, err := m.opt.Store.Get(ctx, topo.KindLease, m.object(g))
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Object{}, topo.Lease{Group: g}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Object{}, topo.Lease{Group: g}, nil
 	}
 	if err != nil {
 		return o, topo.Lease{}, err
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"bergamotcroft.example/bergamot/peer/peerv1"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // Errors of Broadcast.
@@ -35,7 +35,7 @@
 	Exchanger Exchanger
 	Seeds     []string // peer addresses from the settings
 	// VMs returns the platform's list, or an error while the store is down. PeerPort completes its addresses.
-	VMs      func(context.Context) ([]platform.VM, error)
+	VMs      func(context.Context) ([]store.VM, error)
 	PeerPort string
 	// Now is the clock; nil: time.Now. Timers use package time, which testing/synctest replaces.
 	Now  func() time.Time
--- a/membership/service_test.go
+++ b/membership/service_test.go
@@ -13,7 +13,7 @@
 	"github.com/matryer/is"
 
 	"bergamotcroft.example/bergamot/peer/peerv1"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // wire joins services in one process.
@@ -94,9 +94,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := &wire{inbox: map[string]chan []byte{}, services: map[string]*Service{}}
-		down := func(context.Context) ([]platform.VM, error) { return nil, platform.ErrUnavailable }
-		stale := func(context.Context) ([]platform.VM, error) {
-			return []platform.VM{{Name: "gone", Address: "gone"}, {Name: "a", Address: "a"}, {Name: "e1", Address: "e1", Upstream: true}}, nil
+		down := func(context.Context) ([]store.VM, error) { return nil, store.ErrUnavailable }
+		stale := func(context.Context) ([]store.VM, error) {
+			return []store.VM{{Name: "gone", Address: "gone"}, {Name: "a", Address: "a"}, {Name: "e1", Address: "e1", Upstream: true}}, nil
 		}
 		a, stopA := w.join(t, "a", Options{Seeds: []string{"nobody:2"}, VMs: down})
 		b, stopB := w.join(t, "b", Options{Seeds: []string{"nobody:2", "a:2"}, VMs: down})
--- a/orders/engine.go
+++ b/orders/engine.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -230,11 +230,11 @@
 // mark writes the status object. It is a hint to the operator, so a failure is only logged.
 func (s *Service) mark(ctx context.Context, u topo.Upstream, o topo.Order, problem string) {
 	now, err := s.opt.Store.Get(ctx, topo.KindUpstream, u.Name)
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, store.ErrNotFound) {
 		var value []byte
 		value, err = topo.Encode(Mark{u.Name, o.ID, problem, time.Now().UTC()})
 		if err == nil {
-			_, err = s.opt.Store.Put(ctx, platform.Object{
+			_, err = s.opt.Store.Put(ctx, store.Object{
 				Kind: topo.KindUpstream, Name: u.Name, Version: now.Version, Value: value,
 			})
 		}
--- a/orders/engines_test.go
+++ b/orders/engines_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -125,7 +125,7 @@
 			return topo.EngineStatus{}, errDead
 		}
 		if !w.now.Before(deadline) {
-			return topo.EngineStatus{}, platform.ErrUnavailable
+			return topo.EngineStatus{}, store.ErrUnavailable
 		}
 	}
 	return m.status, m.err
--- a/orders/orders.go
+++ b/orders/orders.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap"
 
 	"bergamotcroft.example/bergamot/lease"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -30,13 +30,13 @@
 
 // Options configure a Runner.
 type Options struct {
-	Store       platform.Store // with the share for leases and orders
+	Store       store.Store // with the share for leases and orders
 	Authority   lease.Authority
 	Engine      Engine
 	SendTimeout time.Duration
 	Poll        time.Duration // between two questions to an engine that works on an order
 	Limit       time.Duration // of an order without LimitMS
-	Clock       platform.Clock
+	Clock       store.Clock
 	Name        string // first part of the writer marks
 	Logger      *zap.Logger
 }
@@ -63,7 +63,7 @@
 		opt.Limit = defaultLimit
 	}
 	if opt.Clock == nil {
-		opt.Clock = platform.SystemClock{}
+		opt.Clock = store.SystemClock{}
 	}
 	if opt.Logger == nil {
 		opt.Logger = zap.NewNop()
@@ -172,7 +172,7 @@
 
 func (s *Service) read(ctx context.Context, u topo.Upstream) (*record, error) {
 	o, err := s.opt.Store.Get(ctx, topo.KindOrder, u.Name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return &record{}, nil
 	}
 	if err != nil {
@@ -188,9 +188,9 @@
 	if err != nil {
 		return err
 	}
-	version, err := platform.PutSettled(ctx, s.opt.Store, platform.Object{
+	version, err := store.PutSettled(ctx, s.opt.Store, store.Object{
 		Kind: topo.KindOrder, Name: r.order.Upstream, Version: r.version, Value: value,
-		Writer: platform.NewMark(s.opt.Name),
+		Writer: store.NewMark(s.opt.Name),
 	}, nil)
 	if err != nil {
 		return storeError(err)
@@ -276,9 +276,9 @@
 // storeError gives a store error its result code.
 func storeError(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		return result.New(result.StoreConflict, "the order's record was changed by another writer").WithCause(err)
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		return result.New(result.StoreOutcomeUnknown, "the outcome of the write is unknown").WithCause(err)
 	default:
 		return result.New(result.StoreUnavailable, "the store can't be used now").WithCause(err)
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -11,8 +11,8 @@
 	emulator "bergamotcroft.example/bergamot/emulator/platform"
 	"bergamotcroft.example/bergamot/lease"
 	"bergamotcroft.example/bergamot/orders"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -134,15 +134,15 @@
 		clock := &hand{now: time.Now()}
 		e := &script{clock: clock, status: topo.EngineStatus{State: topo.EngineIdle, Boot: 1}}
 		e.take = func(o topo.Order) error { return done(e, o) }
-		store := emulator.New(emulator.Options{})
+		objects := emulator.New(emulator.Options{})
 		open, _ := topo.Encode(topo.Order{ID: "0-1-1", Upstream: "a", Kind: topo.StepLoadModel, Fencing: 1, State: topo.OrderOpen})
-		_, err := store.Put(t.Context(), platform.Object{Kind: topo.KindOrder, Name: "a", Value: open})
+		_, err := objects.Put(t.Context(), store.Object{Kind: topo.KindOrder, Name: "a", Value: open})
 		is.NoErr(err)
-		s := orders.New(orders.Options{Store: store, Authority: &holder{clock, 2, time.Now()}, Engine: e})
+		s := orders.New(orders.Options{Store: objects, Authority: &holder{clock, 2, time.Now()}, Engine: e})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		is.NoErr(s.Keep(ctx, func() []topo.Upstream { return []topo.Upstream{{Name: "a", Kind: topo.KindEngine}} }))
-		o, err := store.Get(t.Context(), topo.KindOrder, "a")
+		o, err := objects.Get(t.Context(), topo.KindOrder, "a")
 		is.NoErr(err)
 		r, err := topo.Decode[topo.Order](o.Value)
 		is.NoErr(err)
--- a/orders/world_test.go
+++ b/orders/world_test.go
@@ -13,8 +13,8 @@
 	"bergamotcroft.example/bergamot/lease"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/orders"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -295,7 +295,7 @@
 			return o.config.Serve(ctx, r)
 		}
 	}
-	return configuration.FetchAnswer{}, platform.ErrUnavailable
+	return configuration.FetchAnswer{}, store.ErrUnavailable
 }
 
 // port is the way of one activity to the store. It gives way before the call takes effect and before the answer arrives.
@@ -304,25 +304,25 @@
 func call[T any](a *activity, f func() (T, error)) (T, error) {
 	var zero T
 	if !a.call(300) || a.n.cutStore {
-		return zero, platform.ErrUnavailable
+		return zero, store.ErrUnavailable
 	}
 	v, err := f()
 	if !a.call(300) {
-		return zero, platform.ErrUnavailable
+		return zero, store.ErrUnavailable
 	}
 	return v, err
 }
 
-func (p *port) Get(ctx context.Context, kind, name string) (platform.Object, error) {
-	return call(p.activity, func() (platform.Object, error) { return p.n.w.store.Get(ctx, kind, name) })
+func (p *port) Get(ctx context.Context, kind, name string) (store.Object, error) {
+	return call(p.activity, func() (store.Object, error) { return p.n.w.store.Get(ctx, kind, name) })
 }
 
 type listing struct {
-	objects []platform.Object
+	objects []store.Object
 	next    uint64
 }
 
-func (p *port) List(ctx context.Context, kind, prefix string) ([]platform.Object, uint64, error) {
+func (p *port) List(ctx context.Context, kind, prefix string) ([]store.Object, uint64, error) {
 	l, err := call(p.activity, func() (listing, error) {
 		o, next, err := p.n.w.store.List(ctx, kind, prefix)
 		return listing{o, next}, err
@@ -330,24 +330,24 @@
 	return l.objects, l.next, err
 }
 
-func (p *port) Put(ctx context.Context, o platform.Object) (uint64, error) {
+func (p *port) Put(ctx context.Context, o store.Object) (uint64, error) {
 	return call(p.activity, func() (uint64, error) {
 		v, err := p.n.w.store.Put(ctx, o)
-		if err == nil || errors.Is(err, platform.ErrOutcomeUnknown) {
+		if err == nil || errors.Is(err, store.ErrOutcomeUnknown) {
 			p.n.w.written(o)
 		}
 		return v, err
 	})
 }
 
-func (p *port) Delete(context.Context, string, string, uint64) error { return platform.ErrUnavailable }
+func (p *port) Delete(context.Context, string, string, uint64) error { return store.ErrUnavailable }
 
 type watched struct {
-	events []platform.Event
+	events []store.Event
 	next   uint64
 }
 
-func (p *port) Watch(ctx context.Context, kind string, from uint64) ([]platform.Event, uint64, error) {
+func (p *port) Watch(ctx context.Context, kind string, from uint64) ([]store.Event, uint64, error) {
 	r, err := call(p.activity, func() (watched, error) {
 		defer func() { p.n.w.storeExt = 0 }()
 		e, next, err := p.n.w.store.Watch(ctx, kind, from)
@@ -356,11 +356,11 @@
 	return r.events, r.next, err
 }
 
-func (p *port) VMs(context.Context) ([]platform.VM, error) { return nil, nil }
+func (p *port) VMs(context.Context) ([]store.VM, error) { return nil, nil }
 
 // written checks each write that takes effect: a fencing number grows by one with each change of holder and never otherwise, and
 // a former holder never replaces a record of its successor.
-func (w *world) written(o platform.Object) {
+func (w *world) written(o store.Object) {
 	switch o.Kind {
 	case topo.KindLease:
 		l, _ := topo.Decode[topo.Lease](o.Value)
--- a/server/authority.go
+++ b/server/authority.go
@@ -17,9 +17,9 @@
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/orders"
 	"bergamotcroft.example/bergamot/plan"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/scheduler"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 	"bergamotcroft.example/bergamot/upstream"
 )
@@ -57,8 +57,8 @@
 }
 
 // authorityStore is the store with the share of its rate that is kept for leases, orders, plans and accepted configurations.
-func (s *Server) authorityStore() platform.Store {
-	if c, ok := s.members.store.(*platform.Client); ok {
+func (s *Server) authorityStore() store.Store {
+	if c, ok := s.members.store.(*store.Client); ok {
 		return c.Authority()
 	}
 	return s.members.store
--- a/server/harness_test.go
+++ b/server/harness_test.go
@@ -18,10 +18,10 @@
 
 	"bergamotcroft.example/bergamot/emulator/engine"
 	"bergamotcroft.example/bergamot/emulator/service"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/server"
 	"bergamotcroft.example/bergamot/settings"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -112,7 +112,7 @@
 }
 
 // startStore runs an entry VM whose configuration is in the store.
-func (f *fleet) startStore(store platform.Store, change func(*settings.Settings)) *vm {
+func (f *fleet) startStore(store store.Store, change func(*settings.Settings)) *vm {
 	f.t.Helper()
 	s := settings.Default()
 	s.DataCentre, s.Callers.Listen, s.Metrics.Listen = "a", "127.0.0.1:0", "127.0.0.1:0"
--- a/server/members.go
+++ b/server/members.go
@@ -20,8 +20,8 @@
 	"bergamotcroft.example/bergamot/limits"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/peer"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -37,7 +37,7 @@
 	limits   *limits.Limiter
 	tracker  *discovery.Tracker
 	node     *configuration.Node // nil with a fixed configuration
-	store    platform.Store
+	store    store.Store
 }
 
 func (m *members) close() {
@@ -237,15 +237,15 @@
 }
 
 // store returns the platform's store, or one that is never available.
-func (s *Server) store() platform.Store {
+func (s *Server) store() store.Store {
 	set := s.opts.Settings
 	switch {
 	case s.opts.Store != nil:
 		return s.opts.Store
 	case set.Platform.URL != "":
-		return platform.NewClient(platform.Options{
-			BaseURL: set.Platform.URL, Name: platform.NewMark(set.Name), Groups: set.Control.Groups,
-			Rates:   platform.Rates{Reads: set.Platform.ReadsPerS, Writes: set.Platform.WritesPerS},
+		return store.NewClient(store.Options{
+			BaseURL: set.Platform.URL, Name: store.NewMark(set.Name), Groups: set.Control.Groups,
+			Rates:   store.Rates{Reads: set.Platform.ReadsPerS, Writes: set.Platform.WritesPerS},
 			Members: func() int { return len(s.members.list.Members()) },
 		})
 	}
@@ -257,22 +257,22 @@
 
 var errNoPlatform = errors.New("the settings name no platform")
 
-func (noStore) Get(context.Context, string, string) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+func (noStore) Get(context.Context, string, string) (store.Object, error) {
+	return store.Object{}, store.ErrUnavailable
 }
 
-func (noStore) List(context.Context, string, string) ([]platform.Object, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+func (noStore) List(context.Context, string, string) ([]store.Object, uint64, error) {
+	return nil, 0, store.ErrUnavailable
 }
 
-func (noStore) Put(context.Context, platform.Object) (uint64, error) {
-	return 0, platform.ErrUnavailable
+func (noStore) Put(context.Context, store.Object) (uint64, error) {
+	return 0, store.ErrUnavailable
 }
 
-func (noStore) Delete(context.Context, string, string, uint64) error { return platform.ErrUnavailable }
+func (noStore) Delete(context.Context, string, string, uint64) error { return store.ErrUnavailable }
 
-func (noStore) Watch(context.Context, string, uint64) ([]platform.Event, uint64, error) {
-	return nil, 0, platform.ErrUnavailable
+func (noStore) Watch(context.Context, string, uint64) ([]store.Event, uint64, error) {
+	return nil, 0, store.ErrUnavailable
 }
 
-func (noStore) VMs(context.Context) ([]platform.VM, error) { return nil, errNoPlatform }
+func (noStore) VMs(context.Context) ([]store.VM, error) { return nil, errNoPlatform }
--- a/server/server.go
+++ b/server/server.go
@@ -19,9 +19,9 @@
 	"bergamotcroft.example/bergamot/configuration"
 	"bergamotcroft.example/bergamot/gateway"
 	"bergamotcroft.example/bergamot/membership"
-	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/quarantine"
 	"bergamotcroft.example/bergamot/settings"
+	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 	"bergamotcroft.example/bergamot/upstream"
 )
@@ -31,7 +31,7 @@
 	Settings *settings.Settings
 	Log      *zap.Logger
 	Source   configuration.Source // nil: from the settings
-	Store    platform.Store       // nil: from the settings
+	Store    store.Store          // nil: from the settings
 }
 
 // Server is one entry VM.
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"github.com/matryer/is"
 
 	emulator "bergamotcroft.example/bergamot/emulator/platform"
-	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/store"
 )
 
 // skip is a clock whose sleeps pass at once, and add up.
@@ -39,7 +39,7 @@
 	return ctx.Err()
 }
 
-func serve(t *testing.T, seed uint64, opt platform.Options) (*emulator.Store, *platform.Client) {
+func serve(t *testing.T, seed uint64, opt store.Options) (*emulator.Store, *store.Client) {
 	s := emulator.New(emulator.Options{Seed: seed})
 	server := httptest.NewServer(s.Handler())
 	t.Cleanup(server.Close)
@@ -47,48 +47,48 @@
 	if opt.Clock == nil {
 		opt.Clock = &skip{now: time.Unix(1_800_000_000, 0)}
 	}
-	return s, platform.NewClient(opt)
+	return s, store.NewClient(opt)
 }
 
 // Guards against errors that lose their meaning on the way over HTTP.
 func TestErrorsKeepTheirMeaning(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
-	s, c := serve(t, 1, platform.Options{})
+	s, c := serve(t, 1, store.Options{})
 	_, err := c.Get(ctx, "k", "a/b")
-	is.True(errors.Is(err, platform.ErrNotFound))
-	v, err := c.Put(ctx, platform.Object{Kind: "k", Name: "a/b", Value: []byte("x")})
+	is.True(errors.Is(err, store.ErrNotFound))
+	v, err := c.Put(ctx, store.Object{Kind: "k", Name: "a/b", Value: []byte("x")})
 	is.NoErr(err)
-	_, err = c.Put(ctx, platform.Object{Kind: "k", Name: "a/b"})
-	is.True(errors.Is(err, platform.ErrConflict))
-	_, err = c.Put(ctx, platform.Object{Kind: "k", Name: "c", Value: make([]byte, platform.MaxValueBytes+1)})
-	is.True(errors.Is(err, platform.ErrTooLarge))
+	_, err = c.Put(ctx, store.Object{Kind: "k", Name: "a/b"})
+	is.True(errors.Is(err, store.ErrConflict))
+	_, err = c.Put(ctx, store.Object{Kind: "k", Name: "c", Value: make([]byte, store.MaxValueBytes+1)})
+	is.True(errors.Is(err, store.ErrTooLarge))
 	events, _, err := c.Watch(ctx, "k", 0)
 	is.NoErr(err)
 	is.Equal(events[0].Object.Name, "a/b")
 	s.SetFaults(emulator.Faults{Down: true})
-	_, err = c.Put(ctx, platform.Object{Kind: "k", Name: "a/b", Version: v})
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	_, err = c.Put(ctx, store.Object{Kind: "k", Name: "a/b", Version: v})
+	is.True(errors.Is(err, store.ErrUnavailable))
 	s.SetFaults(emulator.Faults{LoseAnswers: 1})
-	_, err = c.Put(ctx, platform.Object{Kind: "k", Name: "a/b", Version: v})
-	is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+	_, err = c.Put(ctx, store.Object{Kind: "k", Name: "a/b", Version: v})
+	is.True(errors.Is(err, store.ErrOutcomeUnknown))
 }
 
 // Guards against a VM that takes more than its share, and against an authority that starves among 2,200 VMs.
 func TestCallsKeepToTheShare(t *testing.T) {
 	is := is.New(t)
 	clock := &skip{now: time.Unix(1_800_000_000, 0)}
-	_, c := serve(t, 1, platform.Options{
-		Clock: clock, Members: func() int { return 100 }, Groups: 10, Rates: platform.Rates{Reads: 2000, Writes: 200},
+	_, c := serve(t, 1, store.Options{
+		Clock: clock, Members: func() int { return 100 }, Groups: 10, Rates: store.Rates{Reads: 2000, Writes: 200},
 	})
 	for range 104 { // a burst of 4, then 10 reads a second
 		_, err := c.Get(t.Context(), "k", "a")
-		is.True(errors.Is(err, platform.ErrNotFound))
+		is.True(errors.Is(err, store.ErrNotFound))
 	}
 	is.True(clock.slept > 9900*time.Millisecond && clock.slept < 10100*time.Millisecond)
 	clock.slept = 0
 	for i := range 110 { // a burst of 10, then 10 writes a second: a tenth of the part for authorities
-		_, err := c.Authority().Put(t.Context(), platform.Object{Kind: "k", Name: fmt.Sprint(i)})
+		_, err := c.Authority().Put(t.Context(), store.Object{Kind: "k", Name: fmt.Sprint(i)})
 		is.NoErr(err)
 	}
 	is.True(clock.slept > 9900*time.Millisecond && clock.slept < 10100*time.Millisecond)
@@ -113,7 +113,7 @@
 func TestSettledHistoryIsLinearizable(t *testing.T) {
 	for seed := uint64(1); seed <= 5; seed++ {
 		t.Logf("seed %d", seed)
-		s, c := serve(t, seed, platform.Options{Rates: platform.Rates{Reads: 1e6, Writes: 1e6}})
+		s, c := serve(t, seed, store.Options{Rates: store.Rates{Reads: 1e6, Writes: 1e6}})
 		s.SetFaults(emulator.Faults{LoseAnswers: 0.5, StaleReads: 0.1, StaleBy: 3 * time.Millisecond})
 		var mu sync.Mutex
 		var ops []porcupine.Operation
@@ -133,15 +133,15 @@
 					mark := fmt.Sprintf("%d.%d", client, i)
 					in := update{string(o.Value), string(o.Value) + mark + " "}
 					called := time.Since(start)
-					_, err := platform.PutSettled(t.Context(), c, platform.Object{
+					_, err := store.PutSettled(t.Context(), c, store.Object{
 						Kind: "k", Name: "o", Version: o.Version, Value: []byte(in.next),
-					}, func(now platform.Object) (bool, bool) {
+					}, func(now store.Object) (bool, bool) {
 						return slices.Contains(strings.Fields(string(now.Value)), mark), true
 					})
 					switch {
 					case err == nil:
 						note(client, in, called, "applied")
-					case errors.Is(err, platform.ErrConflict):
+					case errors.Is(err, store.ErrConflict):
 						note(client, in, called, "conflict")
 					default:
 						t.Errorf("not settled: %v", err)
--- a/platform/coded.go
+++ b/store/coded.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"errors"
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,9 +1,9 @@
-// Package platform is the narrow interface to the platform: an object store with versions, conditional updates and watches,
+// Package store is the narrow interface to an object store with versions, conditional updates and watches,
 // and a lagging list of VMs.
 //
 // Every call counts against the platform's rates, a waiting watch as one. A write whose answer is lost returns
 // ErrOutcomeUnknown; the writer settles it by reading back its own mark, never by guessing.
-package platform
+package store
 
 import (
 	"context"
