--- /dev/null
+++ b/catalog/follow.go
@@ -0,0 +1,289 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bergamotcroft.example/bergamot/store"
+)
+
+const (
+	// settleAfter is waited after an event before the next watch, so that changes in quick succession cost one call.
+	settleAfter = 100 * time.Millisecond
+	// peerCheck is how often a VM without the store looks for a newer state at its peers.
+	peerCheck   = 200 * time.Millisecond
+	retryMin    = 100 * time.Millisecond // between two tries of a store that does not answer
+	retryMax    = 500 * time.Millisecond // a fourth of the bound within which a change must be in force
+	expireEvery = 250 * time.Millisecond
+)
+
+// Peers fetches the state of another entry VM.
+type Peers interface {
+	// Newer returns the address of a peer that has a higher revision in force, or "".
+	Newer(than uint64) string
+	// Fetch returns a peer's state as Export encodes it.
+	Fetch(ctx context.Context, address string, revision uint64) ([]byte, error)
+}
+
+// Run follows the store until ctx ends.
+func (c *Catalog) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		return c.follow(ctx, c.opts.Kinds.Configuration, c.loadConfiguration, c.configurationEvent)
+	})
+	g.Go(func() error { return c.follow(ctx, c.opts.Kinds.Upstreams, c.loadUpstreams, c.upstreamEvent) })
+	g.Go(func() error { return c.maintain(ctx) })
+	return g.Wait()
+}
+
+// follow lists a kind and watches it from there on, for ever.
+func (c *Catalog) follow(ctx context.Context, kind string, load func(context.Context) (uint64, error), take func(time.Time, store.Event) bool) error {
+	from, listed := uint64(0), false
+	for failures := 0; ctx.Err() == nil; {
+		var err error
+		if !listed {
+			if from, err = load(ctx); err == nil {
+				listed = true
+			}
+		} else {
+			from, err = c.watch(ctx, kind, from, take)
+			if errors.Is(err, store.ErrWatchGap) {
+				c.opts.Log.Info("store history lost; listing again", zap.String("kind", kind), zap.Uint64("revision", from))
+				listed = false
+				continue
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if err == nil {
+			failures = 0
+			c.answered(kind)
+			continue
+		}
+		failures++
+		c.lost(kind, err)
+		wait := min(retryMin<<min(failures-1, 4), retryMax)
+		if c.opts.Clock.Sleep(ctx, wait/2+store.Backoff(0)%(wait/2)) != nil {
+			break
+		}
+	}
+	return nil
+}
+
+// watch waits for changes once and takes them.
+func (c *Catalog) watch(ctx context.Context, kind string, from uint64, take func(time.Time, store.Event) bool) (uint64, error) {
+	events, next, err := c.opts.Store.Watch(ctx, kind, from)
+	if err != nil {
+		return from, err
+	}
+	c.answered(kind)
+	if len(events) == 0 {
+		return max(next, from), nil
+	}
+	c.update(func(now time.Time) bool {
+		changed := false
+		for _, e := range events {
+			changed = take(now, e) || changed
+		}
+		c.revision = max(c.revision, next)
+		return changed
+	})
+	_ = c.opts.Clock.Sleep(ctx, settleAfter) // an end of ctx is seen by follow
+	return max(next, from), nil
+}
+
+func (c *Catalog) configurationEvent(_ time.Time, e store.Event) bool {
+	if e.Deleted || e.Object.Name != c.opts.Kinds.Name {
+		return false
+	}
+	return c.takeConfiguration(e.Object.Value, "store")
+}
+
+func (c *Catalog) upstreamEvent(now time.Time, e store.Event) bool {
+	if e.Deleted {
+		return c.remove(now, e.Object.Name)
+	}
+	return c.takeEntry(now, e.Object.Name, e.Object.Version, e.Object.Value, "store")
+}
+
+func (c *Catalog) loadConfiguration(ctx context.Context) (uint64, error) {
+	objects, at, err := c.opts.Store.List(ctx, c.opts.Kinds.Configuration, "")
+	if err != nil {
+		return 0, err
+	}
+	c.update(func(now time.Time) bool {
+		changed := false
+		c.loaded[c.opts.Kinds.Configuration] = true
+		for _, o := range objects {
+			changed = c.configurationEvent(now, store.Event{Object: o}) || changed
+		}
+		c.revision = max(c.revision, at)
+		return changed
+	})
+	return at, nil
+}
+
+// loadUpstreams replaces the entries by those in the store.
+func (c *Catalog) loadUpstreams(ctx context.Context) (uint64, error) {
+	objects, at, err := c.opts.Store.List(ctx, c.opts.Kinds.Upstreams, "")
+	if err != nil {
+		return 0, err
+	}
+	c.answered(c.opts.Kinds.Upstreams)
+	c.update(func(now time.Time) bool {
+		changed := false
+		listed := map[string]bool{}
+		c.loaded[c.opts.Kinds.Upstreams] = true
+		for _, o := range objects {
+			listed[o.Name] = true
+			changed = c.takeEntry(now, o.Name, o.Version, o.Value, "store") || changed
+		}
+		for name := range c.entries {
+			if !listed[name] {
+				changed = c.remove(now, name) || changed
+			}
+		}
+		c.revision = max(c.revision, at)
+		return changed
+	})
+	return at, nil
+}
+
+// answered notes that the store has answered a call for a kind.
+func (c *Catalog) answered(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.opts.Clock.Now()
+	c.confirmed = now
+	if since, ok := c.unreachable[kind]; ok {
+		delete(c.unreachable, kind)
+		c.regained[kind] = now
+		c.opts.Log.Info("store regained", zap.String("kind", kind), zap.Duration("after", now.Sub(since)))
+	}
+}
+
+// lost notes that the store has not answered.
+func (c *Catalog) lost(kind string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.unreachable[kind]; ok {
+		return
+	}
+	c.unreachable[kind] = c.opts.Clock.Now()
+	storeLosses.Inc()
+	c.opts.Log.Warn("store lost", zap.String("kind", kind), zap.Uint64("revision", c.revision), zap.String("error", short(err)))
+}
+
+// maintain drops entries whose grace has passed and asks peers while the store does not answer.
+func (c *Catalog) maintain(ctx context.Context) error {
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-expire.C:
+			c.update(c.expire)
+			c.askPeers(ctx)
+		}
+	}
+}
+
+// askPeers fetches a newer state from a peer while the store can't be reached from here.
+func (c *Catalog) askPeers(ctx context.Context) {
+	c.mu.Lock()
+	cut, revision := len(c.unreachable) > 0 || c.table == nil, c.revision
+	c.mu.Unlock()
+	if !cut || c.opts.Peers == nil {
+		return
+	}
+	address := c.opts.Peers.Newer(revision)
+	if address == "" {
+		return
+	}
+	value, err := c.opts.Peers.Fetch(ctx, address, revision+1)
+	if err == nil {
+		err = c.Import(value, address)
+	}
+	if err != nil {
+		c.opts.Log.Warn("state not fetched from a peer", zap.String("peer", address), zap.Uint64("revision", revision), zap.String("error", short(err)))
+	}
+}
+
+// exported is a state as peers exchange it: the stored forms, so that each reads them as from the store.
+type exported struct {
+	Revision      uint64          `json:"revision"`
+	Configuration json.RawMessage `json:"configuration,omitempty"`
+	Upstreams     []exportedEntry `json:"upstreams"`
+}
+
+type exportedEntry struct {
+	Name    string          `json:"name"`
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+	Leaving bool            `json:"leaving,omitempty"`
+}
+
+// Export returns the revision and the state in force, for a peer.
+func (c *Catalog) Export() (uint64, []byte, error) {
+	c.mu.Lock()
+	if !c.loaded[c.opts.Kinds.Configuration] || !c.loaded[c.opts.Kinds.Upstreams] {
+		c.mu.Unlock()
+		return 0, nil, trace.Wrap(errIncomplete)
+	}
+	x := exported{Revision: c.revision, Configuration: c.rawTable}
+	for name, r := range c.entries {
+		x.Upstreams = append(x.Upstreams, exportedEntry{name, r.version, r.value, r.entry.Leaving})
+	}
+	c.mu.Unlock()
+	b, err := json.Marshal(x)
+	return x.Revision, b, trace.Wrap(err)
+}
+
+var errIncomplete = errors.New("the state is not complete yet")
+
+// Import takes a peer's state. Nothing goes back: an older configuration, an older entry, an entry that has left here and one
+// that was removed here change nothing. Only a peer that is ahead can remove entries.
+func (c *Catalog) Import(value []byte, from string) error {
+	var x exported
+	if err := json.Unmarshal(value, &x); err != nil {
+		return trace.Wrap(err)
+	}
+	c.update(func(now time.Time) bool {
+		changed := false
+		if len(x.Configuration) > 0 {
+			changed = c.takeConfiguration(x.Configuration, from)
+		}
+		listed := map[string]bool{}
+		for _, e := range x.Upstreams {
+			listed[e.Name] = true
+			if c.entries[e.Name] == nil && e.Version <= c.revision {
+				continue
+			}
+			changed = c.takeEntry(now, e.Name, e.Version, e.Value, from) || changed
+			if r := c.entries[e.Name]; r != nil && e.Leaving && !r.entry.Leaving {
+				r.entry.Leaving = true
+				changed = true
+			}
+		}
+		for name := range c.entries {
+			if !listed[name] && x.Revision > c.revision {
+				changed = c.drop(now, name, "a peer that is ahead lacks it") || changed
+			}
+		}
+		c.revision = max(c.revision, x.Revision)
+		for _, k := range []string{c.opts.Kinds.Configuration, c.opts.Kinds.Upstreams} {
+			c.loaded[k] = true
+		}
+		c.confirmed = now
+		return changed
+	})
+	return nil
+}
--- a/cmd/bergamotd/main.go
+++ b/cmd/bergamotd/main.go
@@ -13,22 +13,27 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/server"
 	"bergamotcroft.example/bergamot/settings"
 )
 
 func main() {
-	config, listen := "", "127.0.0.1:8080"
+	config, listen, metrics := "", "127.0.0.1:8080", ""
 	p := flaggy.NewParser("bergamotd")
 	p.Description = "entry VM of a serving system for a fixed fleet of model engines and plain services"
 	run, check, demo := flaggy.NewSubcommand("run"), flaggy.NewSubcommand("check"), flaggy.NewSubcommand("demo")
+	onPlatform := flaggy.NewSubcommand("edge")
 	run.Description = "serve with the settings of a file"
 	check.Description = "report every fault in a settings file"
+	onPlatform.Description = "serve on the users' platform, with the settings that it writes"
 	demo.Description = "serve with stand-ins for the platform, engines and services in one process"
 	run.String(&config, "c", "config", "settings file")
 	check.String(&config, "c", "config", "settings file")
 	demo.String(&listen, "l", "listen", "address of the caller listener")
-	for _, c := range []*flaggy.Subcommand{run, check, demo} {
+	onPlatform.String(&config, "c", "config", "the platform's settings file; without it the one in $"+platform.SettingsVariable)
+	onPlatform.String(&metrics, "m", "metrics", "address of the metrics listener; a port alone listens on the VM's own address")
+	for _, c := range []*flaggy.Subcommand{run, check, demo, onPlatform} {
 		p.AttachSubcommand(c, 1)
 	}
 	if err := p.Parse(); err != nil {
@@ -37,12 +42,14 @@
 	switch {
 	case run.Used:
 		exit(runFile(config))
+	case onPlatform.Used:
+		exit(runEdge(config, metrics))
 	case check.Used:
 		exit(checkFile(config))
 	case demo.Used:
 		exit(runDemo(listen))
 	default:
-		p.ShowHelpWithMessage("a command is needed: run, check or demo")
+		p.ShowHelpWithMessage("a command is needed: run, edge, check or demo")
 		os.Exit(2)
 	}
 }
--- /dev/null
+++ b/edge/scheduler.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"github.com/gravitational/trace"
+
+	"bergamotcroft.example/bergamot/kernel"
+	"bergamotcroft.example/bergamot/membership"
+	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/policy/retry"
+	"bergamotcroft.example/bergamot/policy/routing"
+	"bergamotcroft.example/bergamot/scheduler"
+
+	// The policies register themselves.
+	_ "bergamotcroft.example/bergamot/policy/admission"
+	_ "bergamotcroft.example/bergamot/policy/health"
+)
+
+// queueCapacity bounds the requests that wait in one entry VM. Each holds its body, of 20 KB as a rule.
+const queueCapacity = 500
+
+// newScheduler composes the policies for the platform's engines and services.
+func newScheduler(e *Edge) (*scheduler.Scheduler, *retry.Window, error) {
+	router, err := kernel.Load[policy.Router]("routing.measured", nil)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	admitter, err := kernel.Load[policy.Admitter]("admission.deadline", nil)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	health, err := kernel.Load[policy.HealthTracker]("health.relative", nil)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	window, err := kernel.Load[*retry.Window]("retry.window", nil)
+	if err != nil {
+		return nil, nil, trace.Wrap(err)
+	}
+	b := e.set.Bounds
+	window.Ratio, window.Slack = b.RetryRatio, b.RetrySlack
+	if b.RetryWindow > 0 {
+		window.WindowMS = int(b.RetryWindow.Milliseconds())
+	}
+	window.Members = e.members
+	return scheduler.New(scheduler.Options{
+		Router: router, Admitter: admitter, Health: health, Retry: window, QueueCapacity: queueCapacity, NewCache: routing.NewIndex,
+		NoYield: true, NoRescue: true, KeepsImports: true,
+	}), window, nil
+}
+
+// members counts the entry VMs that may share the retry budget: all that are not known to be gone.
+func (e *Edge) members() int {
+	n := 0
+	for _, m := range e.list.Members() {
+		if m.State != membership.Gone {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/edge/serve.go
@@ -0,0 +1,174 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/membership"
+	"bergamotcroft.example/bergamot/platform"
+)
+
+// server is an HTTP server on one address.
+type server struct {
+	net  net.Listener
+	http *http.Server
+	open atomic.Int64 // connections
+	busy atomic.Int64 // connections with a request
+	mu   sync.Mutex
+	last map[net.Conn]http.ConnState
+}
+
+const (
+	headerTimeout = 3 * time.Second // what the operator's limits state today
+	// idleTimeout is above any idle limit that operators set for callers, so that no request crosses a close.
+	idleTimeout = 5 * time.Minute
+	headerBytes = 64 << 10
+)
+
+func newServer(address string, h http.Handler, log *zap.Logger) (*server, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	errorLog, err := zap.NewStdLogAt(log.Named("http"), zap.DebugLevel)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	s := &server{net: l, last: map[net.Conn]http.ConnState{}}
+	s.http = &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes, ErrorLog: errorLog,
+		ConnState: s.track,
+	}
+	return s, nil
+}
+
+// track counts connections, for the decision when a stop is over.
+func (s *server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, known := s.last[c]
+	if !known {
+		s.open.Add(1)
+	}
+	if known && old == http.StateActive {
+		s.busy.Add(-1)
+	}
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(s.last, c)
+		s.open.Add(-1)
+		return
+	case http.StateActive:
+		s.busy.Add(1)
+	}
+	s.last[c] = state
+}
+
+func (s *server) serve() error {
+	err := s.http.Serve(s.net)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// closePatience bounds the wait for answers that are being written at the end of a stop.
+const closePatience = 500 * time.Millisecond
+
+func (s *server) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closePatience)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+	}
+}
+
+// listen opens the listeners of callers, of the directory, of the readiness check and of the metrics.
+func (e *Edge) listen(metricsAddress string) error {
+	if e.set.Listen.Callers == "" {
+		return trace.Wrap(errNotListening)
+	}
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{e.set.Listen.Callers, e.front},
+		{e.set.Listen.Ready, platform.Readiness(e.ready)},
+		{e.set.Listen.Directory, platform.Directory{Addresses: e.addresses}},
+		{metricsAddress, http.HandlerFunc(serveMetrics)},
+	} {
+		if l.address == "" {
+			continue
+		}
+		s, err := newServer(l.address, l.handler, e.log)
+		if err != nil {
+			return err
+		}
+		e.servers = append(e.servers, s)
+	}
+	return nil
+}
+
+// callers is the listener of callers.
+func (e *Edge) callers() *server { return e.servers[0] }
+
+// ready says whether new callers may be sent here.
+func (e *Edge) ready() bool { return !e.leaving.Load() && e.catalog.Table() != nil }
+
+// addressLife is how long callers keep an answer of the directory. Some keep it three times as long, which has to end before a
+// stopping process does.
+const addressLife = time.Second
+
+// addresses are those of the entry VMs that take callers, in the order of their nearness.
+func (e *Edge) addresses(dataCentre string) ([]string, time.Duration) {
+	var near, far []string
+	self := e.list.Self()
+	for _, m := range e.list.Members() {
+		switch {
+		case m.CallerAddress == "" || m.State != membership.Alive:
+		case m.Name == self.Name && !e.ready():
+		case m.DataCentre == dataCentre:
+			near = append(near, m.CallerAddress)
+		default:
+			far = append(far, m.CallerAddress)
+		}
+	}
+	return append(slices.Clip(near), far...), min(addressLife, max(e.set.Bounds.AddressLife, 0))
+}
+
+// Times of a stop, from its signal.
+const (
+	// keepAddresses is how long callers may still come with an address that they hold.
+	keepAddresses = 3*addressLife + 500*time.Millisecond
+	// stopMargin is left of the platform's grace for the process to end.
+	stopMargin = 700 * time.Millisecond
+	drainCheck = 50 * time.Millisecond
+	// politeFor is the time in which idle connections are told to close by the answer to their next request.
+	politeFor = time.Second
+)
+
+// drain leaves the directory's answers, serves callers that still hold the address and waits for what is running.
+func (e *Edge) drain() {
+	start := time.Now()
+	e.leaving.Store(true)
+	e.list.Leave()
+	e.front.Stop()
+	e.log.Info("leaving", zap.Int64("connections", e.callers().open.Load()), zap.Int64("busy", e.callers().busy.Load()))
+	limit := e.set.Bounds.StopGrace - stopMargin
+	for time.Since(start) < limit {
+		time.Sleep(drainCheck)
+		if time.Since(start) >= keepAddresses && e.callers().busy.Load() == 0 {
+			break
+		}
+	}
+	e.log.Info("drained", zap.Duration("took", time.Since(start)), zap.Int64("connections", e.callers().open.Load()), zap.Int64("busy", e.callers().busy.Load()))
+}
--- /dev/null
+++ b/forward/record.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/gateway"
+	"bergamotcroft.example/bergamot/result"
+)
+
+// metricSet counts what the front does.
+type metricSet struct {
+	rejections, failures, leavingAnswers *metrics.Counter
+	requests                             func(class string, code result.Code) *metrics.Counter
+	latency, first                       func(class string) *metrics.Histogram
+}
+
+// maxSeries bounds the classes with series of their own; a configuration may add hundreds of routes.
+const maxSeries = 64
+
+func newMetricSet() *metricSet {
+	m := &metricSet{
+		rejections:     metrics.GetOrCreateCounter("bergamot_forward_rejected_sends_total"),
+		failures:       metrics.GetOrCreateCounter("bergamot_forward_failed_sends_total"),
+		leavingAnswers: metrics.GetOrCreateCounter("bergamot_forward_leaving_answers_total"),
+	}
+	names := newSeries(maxSeries)
+	m.requests = func(class string, code result.Code) *metrics.Counter {
+		return metrics.GetOrCreateCounter(`bergamot_forward_requests_total{class="` + names.of(class) + `",result="` + code.Info().Name + `"}`)
+	}
+	m.latency = func(class string) *metrics.Histogram {
+		return metrics.GetOrCreateHistogram(`bergamot_forward_seconds{class="` + names.of(class) + `"}`)
+	}
+	m.first = func(class string) *metrics.Histogram {
+		return metrics.GetOrCreateHistogram(`bergamot_forward_first_event_seconds{class="` + names.of(class) + `"}`)
+	}
+	return m
+}
+
+// logSend writes the decision where to send a request.
+func (x *exchange) logSend(p *gateway.Placement) {
+	x.f.opts.Log.Info("send", zap.String("request", x.call.ID), zap.Int("attempt", p.Number), zap.Bool("hedge", p.Hedge),
+		zap.String("service", x.service), zap.String("prompt_at", p.Prefill.Name), zap.String("upstream", p.Decode.Name),
+		zap.String("fetch_from", p.Source.Name), zap.Int("tokens", x.call.Prompt), zap.Int("cached_pieces", p.Cached),
+		zap.Duration("waited", time.Since(x.arrival)), zap.Duration("left", time.Until(x.until)))
+}
+
+// record counts and logs a request that has ended.
+func (x *exchange) record(e *result.Error) {
+	code, class := result.OK, ""
+	if e != nil {
+		code = e.Code
+	}
+	fields := make([]zap.Field, 0, 14)
+	fields = append(fields, zap.String("request", x.call.ID), zap.Int("code", int(code)), zap.String("result", code.Info().Name))
+	if x.route != nil {
+		class = x.route.Name
+		fields = append(fields, zap.String("route", class), zap.Uint64("configuration", x.table.Version), zap.String("service", x.service),
+			zap.Int("priority", x.route.Priority), zap.Duration("target", x.route.Target))
+	}
+	took := time.Since(x.arrival)
+	x.f.metrics.requests(class, code).Inc()
+	x.f.metrics.latency(class).Update(took.Seconds())
+	if x.firstAt > 0 {
+		x.f.metrics.first(class).Update(x.firstAt.Seconds())
+	}
+	fields = append(fields, zap.Duration("took", took), zap.Duration("first", x.firstAt), zap.Int("events", x.events), zap.Int32("sends", x.sends.Load()))
+	if x.answer != nil {
+		fields = append(fields, zap.Int("status", x.answer.status))
+	}
+	if e != nil {
+		fields = append(fields, zap.String("execution", string(e.Execution)), zap.Duration("retry_after", e.RetryAfter), zap.Error(e))
+	}
+	x.f.opts.Log.Info("request", fields...)
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -16,6 +16,7 @@
 
 const (
 	evOffer eventKind = iota
+	evPrompt // the prompt is computed at an engine that only computes prompts
 	evFirst
 	evProgress
 	evFinished // the attempt has ended; the scheduler decides what follows
@@ -41,6 +42,8 @@
 	scheduler.Action
 	attempt         int
 	prefill, decode topo.Upstream
+	source          *topo.Upstream // nil: nothing is fetched
+	cached          int            // pieces believed cached at prefill
 	hedge           bool
 	cancel          context.CancelCauseFunc // of a hedge
 }
@@ -111,7 +114,9 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			l.ring.TryPut(event{kind: evTick})
+			if l.queued.Load()+l.running.Load() > 0 {
+				l.ring.TryPut(event{kind: evTick})
+			}
 		}
 	}
 }
@@ -123,6 +128,10 @@
 		l.flights[f.req.ID] = f
 		f.offered = now
 		l.apply(l.sched.Offer(now, &f.req))
+	case evPrompt:
+		if f.running == e.attempt {
+			l.apply(l.sched.PromptComputed(now, &f.req))
+		}
 	case evFirst:
 		if f.req.Generated == 0 { // the caller of a resumed stream had its first token before
 			l.metrics.firstToken(f.req.Class, now-f.offered)
@@ -201,6 +210,10 @@
 		if a.Decode != a.Prefill && a.Decode != policy.None && a.Kind == scheduler.Dispatch {
 			o.decode = l.sched.Fleet().Upstreams[a.Decode].Spec
 		}
+		if a.Source != nil {
+			o.source = &a.Source.Spec
+		}
+		o.cached = a.Request.Cached
 	}
 	switch a.Kind {
 	case scheduler.Dispatch:
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -39,7 +39,8 @@
 	Acquire(caller string, limits topo.Limits, tokens int) (release func(used int), err *result.Error)
 }
 
-// Options configures a Gateway. Source, Scheduler and Client are required.
+// Options configures a Gateway. Scheduler is required; the API of this package also needs Source and Client, and refuses all
+// without them.
 type Options struct {
 	Source     configuration.Source
 	Scheduler  *scheduler.Scheduler
@@ -126,6 +127,9 @@
 	return g
 }
 
+// Since is the scheduler's time of a moment.
+func (g *Gateway) Since(t time.Time) time.Duration { return t.Sub(g.start) }
+
 // now is the time since the gateway's start, by the monotonic clock.
 func (g *Gateway) now() time.Duration { return time.Since(g.start) }
 
@@ -149,8 +153,10 @@
 
 // Run runs the scheduler and follows the configuration until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	cancel := g.opts.Source.Subscribe(func(c *topo.Configuration) { g.adopt(ctx, c) })
-	defer cancel()
+	if g.opts.Source != nil {
+		cancel := g.opts.Source.Subscribe(func(c *topo.Configuration) { g.adopt(ctx, c) })
+		defer cancel()
+	}
 	go g.watchPauses(ctx)
 	return g.loop.run(ctx)
 }
--- /dev/null
+++ b/loads/loads.go
@@ -0,0 +1,308 @@
+// Package loads lets entry VMs tell one another what they have in hand at each upstream, and which prompts they have placed where.
+//
+// Each entry VM sends its own counts; the sum of what the others sent is the load that it did not cause itself. Messages are
+// datagrams: a lost one is replaced by the next.
+//
+// Invariants: what a peer sent counts for a bounded time; messages, tables and queues are bounded.
+package loads
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"bergamotcroft.example/bergamot/membership"
+	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/scheduler"
+)
+
+// Options configures an Exchange. All but Log are required.
+type Options struct {
+	List      membership.List
+	Transport membership.Transport
+	Port      string // of the exchange at all entry VMs
+	Secret    string
+	Boot      uint64 // start of this process
+	// Do runs f in the scheduler's goroutine and waits for it.
+	Do  func(ctx context.Context, f func(now time.Duration, s *scheduler.Scheduler)) error
+	Log *zap.Logger
+}
+
+const (
+	interval = 100 * time.Millisecond // an engine computes a long prompt in two or three of it
+	// refresh is the longest time between two messages while something is in hand. Peers forget after life.
+	refresh = 400 * time.Millisecond
+	life    = time.Second
+	// allPeers is the number of entry VMs up to which each tells all others. In larger fleets each tells those of its own data
+	// centre, so that the traffic between data centres does not grow with the square of the fleet.
+	allPeers = 16
+	// placeRepeats is how often a placement is sent, against lost datagrams.
+	placeRepeats = 2
+	maxPending   = 256 // placements that wait to be sent
+)
+
+// Exchange sends and collects loads.
+type Exchange struct {
+	opts Options
+
+	mu      sync.Mutex
+	pending []pending
+	peers   map[string]*heard
+	places  []placement // received and not yet applied
+	fresh   bool        // something came since the last look
+
+	seq      uint64
+	last     []load
+	lastSent time.Time
+}
+
+type pending struct {
+	placement
+	left int
+}
+
+type heard struct {
+	boot, seq uint64
+	at        time.Time
+	loads     []load
+}
+
+var (
+	sent     = metrics.NewCounter(`bergamot_load_messages_total{direction="sent"}`)
+	received = metrics.NewCounter(`bergamot_load_messages_total{direction="received"}`)
+	rejected = metrics.NewCounter(`bergamot_load_messages_rejected_total`)
+)
+
+// New returns an Exchange.
+func New(o Options) *Exchange {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	return &Exchange{opts: o, peers: map[string]*heard{}}
+}
+
+// Run takes part until ctx ends.
+func (x *Exchange) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(x.receive)
+	g.Go(func() error {
+		<-ctx.Done()
+		return x.opts.Transport.Close()
+	})
+	g.Go(func() error {
+		t := time.NewTicker(interval)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-t.C:
+				x.round(ctx, time.Now())
+			}
+		}
+	})
+	return g.Wait()
+}
+
+// Placed notes that upstreams will hold the parts, so that peers send prompts with them there.
+func (x *Exchange) Placed(parts []policy.Part, upstreams ...string) {
+	if len(parts) > maxParts {
+		parts = parts[:maxParts]
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, u := range upstreams {
+		if len(x.pending) < maxPending {
+			x.pending = append(x.pending, pending{placement{hash(u), parts}, placeRepeats})
+		}
+	}
+}
+
+func hash(upstream string) uint32 { return uint32(xxhash.Sum64String(upstream)) }
+
+// round takes what has come into the scheduler and sends the own counts where they have changed.
+func (x *Exchange) round(ctx context.Context, now time.Time) {
+	others, places, changed := x.collect(now)
+	var own []load
+	err := x.opts.Do(ctx, func(at time.Duration, s *scheduler.Scheduler) {
+		own = counts(s)
+		if changed {
+			apply(at, s, others, places)
+		}
+	})
+	if err != nil {
+		return // ctx has ended
+	}
+	x.send(now, own)
+}
+
+// collect sums what peers have in hand and forgets what is too old.
+func (x *Exchange) collect(now time.Time) (others map[uint32]load, places []placement, changed bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	others = map[uint32]load{}
+	for name, p := range x.peers {
+		if now.Sub(p.at) > life {
+			delete(x.peers, name)
+			x.fresh = true
+			continue
+		}
+		for _, l := range p.loads {
+			sum := others[l.upstream]
+			sum.running += l.running
+			sum.prompt += l.prompt
+			others[l.upstream] = sum
+		}
+	}
+	places, changed = x.places, x.fresh
+	x.places, x.fresh = nil, false
+	return others, places, changed
+}
+
+// counts is what this entry VM has in hand.
+func counts(s *scheduler.Scheduler) []load {
+	var own []load
+	for _, u := range s.Fleet().Upstreams {
+		if (u.OwnRunning > 0 || u.OwnPrefill >= promptUnit) && len(own) < maxLoads {
+			own = append(own, load{uint32(u.Hash), uint64(u.OwnRunning), uint64(u.OwnPrefill)})
+		}
+	}
+	return own
+}
+
+func apply(now time.Duration, s *scheduler.Scheduler, others map[uint32]load, places []placement) {
+	for i, u := range s.Fleet().Upstreams {
+		l := others[uint32(u.Hash)]
+		s.Report(now, i, policy.LoadReport{At: now, Running: int(l.running), PrefillTokens: float64(l.prompt)})
+	}
+	for _, p := range places {
+		for i, u := range s.Fleet().Upstreams {
+			if uint32(u.Hash) == p.upstream {
+				s.CacheEvent(now, i, scheduler.CacheEvent{Inserted: policy.PrefixPieces(p.parts)})
+			}
+		}
+	}
+}
+
+// send tells the peers.
+func (x *Exchange) send(now time.Time, own []load) {
+	x.mu.Lock()
+	places := x.take()
+	x.mu.Unlock()
+	quiet := len(own) == 0 && len(x.last) == 0
+	if len(places) == 0 && (quiet || same(own, x.last) && now.Sub(x.lastSent) < refresh) {
+		return
+	}
+	x.seq++
+	x.last, x.lastSent = own, now
+	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, places: places}
+	datagram := membership.Seal(x.opts.Secret, m.encode())
+	if len(datagram) > maxDatagram {
+		m.places = nil // counts go first; placements are only a saving
+		datagram = membership.Seal(x.opts.Secret, m.encode())
+	}
+	for _, address := range x.targets() {
+		sent.Inc()
+		x.opts.Transport.Send(address, datagram)
+	}
+}
+
+// take returns the placements of the next message.
+func (x *Exchange) take() []placement {
+	var out []placement
+	kept := x.pending[:0]
+	for _, p := range x.pending {
+		if len(out) < maxPlaces {
+			out = append(out, p.placement)
+			p.left--
+		}
+		if p.left > 0 {
+			kept = append(kept, p)
+		}
+	}
+	x.pending = kept
+	return out
+}
+
+func same(a, b []load) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// targets are the peers that are told.
+func (x *Exchange) targets() []string {
+	self, all := x.opts.List.Self(), x.opts.List.Members()
+	var out []string
+	for _, m := range all {
+		if m.Name == self.Name || m.State == membership.Gone || len(all) > allPeers && m.DataCentre != self.DataCentre {
+			continue
+		}
+		if host, ok := hostOf(m.Address); ok {
+			out = append(out, host+":"+x.opts.Port)
+		}
+	}
+	return out
+}
+
+func hostOf(address string) (string, bool) {
+	for i := len(address) - 1; i >= 0; i-- {
+		if address[i] == ':' {
+			return address[:i], true
+		}
+	}
+	return "", false
+}
+
+func (x *Exchange) receive() error {
+	buffer := make([]byte, 2*maxDatagram)
+	for {
+		n, from, err := x.opts.Transport.Receive(buffer)
+		if errors.Is(err, membership.ErrTransportClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		payload, ok := membership.Open(x.opts.Secret, buffer[:n])
+		if !ok {
+			rejected.Inc()
+			continue
+		}
+		m, err := decode(payload)
+		if err != nil {
+			rejected.Inc()
+			continue
+		}
+		received.Inc()
+		x.hear(time.Now(), from, m)
+	}
+}
+
+// hear takes a message unless a newer one has come from the same process.
+func (x *Exchange) hear(now time.Time, from string, m message) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peers[from]
+	if p != nil && (m.boot < p.boot || m.boot == p.boot && m.seq <= p.seq) {
+		return
+	}
+	x.peers[from] = &heard{boot: m.boot, seq: m.seq, at: now, loads: m.loads}
+	x.places = append(x.places, m.places...)
+	if len(x.places) > maxPending {
+		x.places = x.places[len(x.places)-maxPending:]
+	}
+	x.fresh = true
+}
--- /dev/null
+++ b/logs/logs.go
@@ -0,0 +1,167 @@
+// Package logs writes one key=value line for each event without ever blocking the event's own goroutine.
+//
+// Lines go through a bounded queue to a goroutine that writes them. A line that finds the queue full is dropped and counted by its
+// message. A stuck output therefore costs lines, never requests.
+package logs
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/buffer"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	// DefaultQueue holds about a second of lines at the highest rate of one entry VM.
+	DefaultQueue = 4096
+	batchBytes   = 32 << 10              // of one write
+	batchDelay   = 50 * time.Millisecond // lines that come meanwhile share a write
+	maxKinds     = 64                    // messages with a counter of their own
+)
+
+// Writer is the bounded queue and its goroutine.
+type Writer struct {
+	lines   chan *buffer.Buffer
+	done    chan struct{}
+	stopped atomic.Bool
+	mu      sync.Mutex
+	kinds   map[string]*metrics.Counter
+}
+
+// New returns a logger at a level such as "info" and its writer. An unknown level counts as info.
+func New(level string, out io.Writer, queue int) (*zap.Logger, *Writer) {
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		at = zapcore.InfoLevel
+	}
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	c.EncodeDuration = zapcore.MillisDurationEncoder
+	if queue <= 0 {
+		queue = DefaultQueue
+	}
+	w := &Writer{lines: make(chan *buffer.Buffer, queue), done: make(chan struct{}), kinds: map[string]*metrics.Counter{}}
+	go w.run(out)
+	return zap.New(&core{LevelEnabler: at, encoder: zaplogfmt.NewEncoder(c), w: w}), w
+}
+
+// run writes lines in batches until Close.
+func (w *Writer) run(out io.Writer) {
+	defer close(w.done)
+	var batch []byte
+	for line := range w.lines {
+		if line == nil {
+			return
+		}
+		time.Sleep(batchDelay)
+		batch = append(batch[:0], line.Bytes()...)
+		line.Free()
+		ended := false
+		for more := true; more && len(batch) < batchBytes; {
+			select {
+			case line := <-w.lines:
+				if ended = line == nil; ended {
+					more = false
+					break
+				}
+				batch = append(batch, line.Bytes()...)
+				line.Free()
+			default:
+				more = false
+			}
+		}
+		_, _ = out.Write(batch) // there is nowhere to report a broken log to
+		if ended {
+			return
+		}
+	}
+}
+
+// Close writes what is queued, for at most the given time.
+func (w *Writer) Close(patience time.Duration) {
+	if w.stopped.Swap(true) {
+		return
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case w.lines <- nil:
+	case <-timer.C:
+		return
+	}
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
+}
+
+// put queues a line.
+func (w *Writer) put(message string, line *buffer.Buffer) {
+	if !w.stopped.Load() {
+		select {
+		case w.lines <- line:
+			return
+		default:
+		}
+	}
+	line.Free()
+	w.dropped(message).Inc()
+}
+
+// dropped counts the lines that were left out, by message.
+func (w *Writer) dropped(message string) *metrics.Counter {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c, ok := w.kinds[message]
+	if !ok {
+		if len(w.kinds) >= maxKinds {
+			message = "other"
+		}
+		c = metrics.GetOrCreateCounter(`bergamot_log_lines_dropped_total{message="` + message + `"}`)
+		w.kinds[message] = c
+	}
+	return c
+}
+
+// core is a zapcore.Core that encodes in the event's goroutine and queues the line.
+type core struct {
+	zapcore.LevelEnabler
+	encoder zapcore.Encoder
+	w       *Writer
+}
+
+// With implements zapcore.Core.
+func (c *core) With(fields []zapcore.Field) zapcore.Core {
+	e := c.encoder.Clone()
+	for i := range fields {
+		fields[i].AddTo(e)
+	}
+	return &core{c.LevelEnabler, e, c.w}
+}
+
+// Check implements zapcore.Core.
+func (c *core) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return ce.AddCore(e, c)
+	}
+	return ce
+}
+
+// Write implements zapcore.Core.
+func (c *core) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	line, err := c.encoder.EncodeEntry(e, fields)
+	if err != nil {
+		return err
+	}
+	c.w.put(e.Message, line)
+	return nil
+}
+
+// Sync implements zapcore.Core.
+func (c *core) Sync() error { return nil }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -160,7 +160,7 @@
 }
 
 func (s *Service) send(address string, payload []byte) {
-	d := seal(s.o.Secret, payload)
+	d := Seal(s.o.Secret, payload)
 	s.sentBytes.Add(len(d))
 	s.o.Transport.Send(address, d)
 }
@@ -176,7 +176,7 @@
 			return trace.Wrap(err)
 		}
 		s.receivedBytes.Add(n)
-		payload, ok := open(s.o.Secret, buffer[:n])
+		payload, ok := Open(s.o.Secret, buffer[:n])
 		if !ok {
 			s.rejected.Inc()
 			continue
--- a/membership/service_test.go
+++ b/membership/service_test.go
@@ -150,19 +150,19 @@
 // Guards against datagrams of strangers: a wrong code must change nothing.
 func TestForgedDatagramIsRefused(t *testing.T) {
 	is := is.New(t)
-	sealed := seal("secret", []byte("payload"))
-	payload, ok := open("secret", sealed)
+	sealed := Seal("secret", []byte("payload"))
+	payload, ok := Open("secret", sealed)
 	is.True(ok)
 	is.Equal(string(payload), "payload")
 	for i := range sealed {
 		forged := slices.Clone(sealed)
 		forged[i] ^= 1
-		_, ok := open("secret", forged)
+		_, ok := Open("secret", forged)
 		is.True(!ok)
 	}
-	_, ok = open("other", sealed)
+	_, ok = Open("other", sealed)
 	is.True(!ok)
-	_, ok = open("secret", sealed[:macBytes-1])
+	_, ok = Open("secret", sealed[:macBytes-1])
 	is.True(!ok)
 }
 
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -97,7 +97,7 @@
 }
 
 func (w *network) send(from *node, to string, b []byte) {
-	b = seal("secret", b)
+	b = Seal("secret", b)
 	from.bytes += len(b) + datagramOverhead
 	if w.rng.Float64() < w.loss {
 		return
@@ -153,7 +153,7 @@
 		return
 	}
 	to.bytes += len(p.payload) + datagramOverhead
-	payload, ok := open("secret", p.payload)
+	payload, ok := Open("secret", p.payload)
 	if !ok {
 		w.t.Fatal("datagram refused")
 	}
--- a/membership/transport.go
+++ b/membership/transport.go
@@ -68,11 +68,13 @@
 // macBytes of a truncated HMAC-SHA256 precede each datagram. Eight bytes can't be guessed at the rate that a VM receives.
 const macBytes = 8
 
-func seal(secret string, payload []byte) []byte {
+// Seal puts an authentication code before a payload.
+func Seal(secret string, payload []byte) []byte {
 	return append(datagramMAC(secret, payload), payload...)
 }
 
-func open(secret string, datagram []byte) ([]byte, bool) {
+// Open checks the authentication code of a datagram and returns its payload.
+func Open(secret string, datagram []byte) ([]byte, bool) {
 	if len(datagram) < macBytes {
 		return nil, false
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,6 +23,27 @@
 // Priorities is the number of priorities that are accounted for separately; lower ones share the last.
 const Priorities = 4
 
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// PrefixPieces returns the chained hashes of the whole pieces of a prompt that begins with the parts. A piece that lies in two parts
+// belongs to the later one. Prompts with the same parts have the same pieces.
+func PrefixPieces(parts []Part) []uint64 {
+	var out []uint64
+	chain, tokens := uint64(0), 0
+	for _, p := range parts {
+		chain = Spread(chain ^ Spread(p.ID))
+		tokens += p.Tokens
+		for (len(out)+1)*PieceTokens <= tokens {
+			out = append(out, Spread(chain+uint64(len(out))))
+		}
+	}
+	return out
+}
+
 // Request is one piece of work as the policies see it. The scheduler owns it from Offer until it is finished or refused.
 type Request struct {
 	ID       uint64
@@ -37,6 +58,7 @@
 	PromptTokens   int
 	Prefix         []uint64 // chained hashes of the prompt's pieces, from the start; piece i covers PieceTokens tokens
 	MaxOutput      int      // the caller's bound on output tokens; 0: none
+	HintOutput     int      // the caller's own estimate of output tokens; 0: none
 	Guessed        bool     // ExpectedOutput is a default: too few requests of the class have finished
 	ExpectedOutput float64  // estimate of output tokens, set by the scheduler from past requests of the class
 
@@ -44,6 +66,8 @@
 	Deadline   time.Duration // absolute; the answer must be whole by then
 	FirstToken time.Duration // absolute target for the first token; 0: none
 	Idempotent bool
+	Resends    int  // attempts beyond the first that may be made where each may run, at most; 0: no bound of its own
+	Bounded    bool // Resends holds, also when the answer has begun
 
 	// State of the execution.
 	Attempts    int
@@ -56,7 +80,10 @@
 	AvoidDecode int // upstream that was to generate in the last failed attempt, or None
 
 	// Set at dispatch.
-	Cached         int           // pieces believed cached at Prefill
+	Cached         int           // pieces believed cached at Prefill, or fetched from Source
+	Backlog        float64       // prompt tokens that Prefill was believed to compute before this one
+	PromptDone     bool          // the prompt is computed at Prefill, its first token is not there yet
+	RanAt          int           // attempts that may have run
 	ExpectedFirst  time.Duration // time to the first token, from dispatch
 	ExpectedFinish time.Duration // time to the whole answer, from dispatch
 	NominalFirst   time.Duration // ExpectedFirst at an upstream that is not slow
@@ -87,6 +114,14 @@
 	Slot         int           // position in the scheduler's list, or None
 }
 
+// Budget names the set of upstreams whose load a resend of r adds to.
+func (r *Request) Budget() string {
+	if r.Service != "" {
+		return r.Service
+	}
+	return r.Model
+}
+
 // Avoids reports whether upstream i took part in the last failed attempt.
 func (r *Request) Avoids(i int) bool { return i == r.Avoid || i == r.AvoidDecode }
 
@@ -191,6 +226,8 @@
 	Finish     time.Duration // expected, from now
 	Cached     int           // pieces of the prefix believed cached at Prefill
 	Defer      bool          // better to wait in the entry VM's queue than to start now
+	Backlog    float64       // prompt tokens that Prefill computes before this request
+	Source     *Upstream     // engine from which Prefill fetches cached pieces; nil: none
 }
 
 // Router picks an upstream.
@@ -198,6 +235,13 @@
 	Route(now time.Duration, r *Request, f *Fleet) Choice
 }
 
+// Learner is a Router that learns from what its choices led to.
+type Learner interface {
+	// Learn is told that r's prompt took the given time from its dispatch to Prefill, or has taken at least that long when it is
+	// still under way.
+	Learn(now time.Duration, r *Request, f *Fleet, took time.Duration, done bool)
+}
+
 // Verdict is an admitter's answer.
 type Verdict struct {
 	Admit      bool
@@ -277,13 +321,13 @@
 // RetryPolicy decides on another attempt.
 type RetryPolicy interface {
 	// Arrived counts a new request, from which the budget grows.
-	Arrived(now time.Duration)
+	Arrived(now time.Duration, r *Request)
 	// Retry says if r may be tried again, and after which delay.
 	Retry(now time.Duration, r *Request, o Outcome) (bool, time.Duration)
 	// Hedge returns the time after dispatch at which a second attempt may start, or 0 for never.
 	Hedge(now time.Duration, r *Request) time.Duration
-	// Hedged counts a second attempt that was started.
-	Hedged()
+	// Hedged counts a second attempt of r that was started.
+	Hedged(now time.Duration, r *Request)
 }
 
 // Mix is the recent load of one model as seen by a role planner.
--- a/policy/retry/retry.go
+++ b/policy/retry/retry.go
@@ -26,7 +26,7 @@
 }
 
 // Arrived implements policy.RetryPolicy.
-func (*Immediate) Arrived(time.Duration) {}
+func (*Immediate) Arrived(time.Duration, *policy.Request) {}
 
 // Retry implements policy.RetryPolicy.
 func (*Immediate) Retry(now time.Duration, r *policy.Request, _ policy.Outcome) (bool, time.Duration) {
@@ -37,7 +37,7 @@
 func (*Immediate) Hedge(time.Duration, *policy.Request) time.Duration { return 0 }
 
 // Hedged implements policy.RetryPolicy.
-func (*Immediate) Hedged() {}
+func (*Immediate) Hedged(time.Duration, *policy.Request) {}
 
 // Budget allows retries and hedges as a share of the traffic, so that a failing fleet is not loaded further by them.
 type Budget struct {
@@ -69,7 +69,7 @@
 }
 
 // Arrived implements policy.RetryPolicy.
-func (b *Budget) Arrived(time.Duration) {
+func (b *Budget) Arrived(time.Duration, *policy.Request) {
 	if !b.started {
 		b.started, b.tokens, b.hedges = true, b.Burst, b.Burst
 	}
@@ -103,4 +103,4 @@
 }
 
 // Hedged implements policy.RetryPolicy.
-func (b *Budget) Hedged() { b.hedges-- }
+func (b *Budget) Hedged(time.Duration, *policy.Request) { b.hedges-- }
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -24,7 +24,7 @@
 		for range rapid.IntRange(1, 500).Draw(rt, "steps") {
 			now := time.Duration(rapid.IntRange(0, 100).Draw(rt, "now")) * time.Millisecond
 			if rapid.Bool().Draw(rt, "arrives") {
-				p.Arrived(now)
+				p.Arrived(now, &policy.Request{})
 				arrived++
 				continue
 			}
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -61,7 +61,7 @@
 
 // release takes an attempt off its upstreams' accounts.
 func (s *Scheduler) release(r *policy.Request, a attempt) {
-	if r.FirstAt == 0 {
+	if r.FirstAt == 0 && !r.PromptDone {
 		s.settlePrefill(r, a)
 	}
 	d := s.fleet.Upstreams[a.decode]
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -29,6 +29,7 @@
 	Request    *policy.Request
 	Prefill    int
 	Decode     int
+	Source     *policy.Upstream // for Dispatch: engine from which Prefill fetches cached pieces; nil: none
 	Code       result.Code
 	RetryAfter time.Duration
 	Ran        bool          // for Refuse: an attempt may have run
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -140,6 +140,9 @@
 	if r.MaxOutput > 0 {
 		v = math.Min(v, float64(r.MaxOutput))
 	}
+	if r.HintOutput > 0 {
+		v, r.Guessed = float64(r.HintOutput), false
+	}
 	r.ExpectedOutput = v
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,9 @@
 	// NewCache makes the prefix index of one engine.
 	NewCache func(kvPieces int) policy.PrefixIndex
 	NoYield  bool // long jobs keep their place while others wait
+	NoRescue bool // streams stay at an upstream that has been found slow
+	// KeepsImports says that an engine which imports KV cache keeps its pieces like its own.
+	KeepsImports bool
 }
 
 // Scheduler is the state machine of one entry VM.
@@ -79,7 +82,7 @@
 	r.Prefill, r.Decode, r.Avoid, r.Slot = policy.None, policy.None, policy.None, policy.None
 	r.AvoidDecode, r.HedgePrefill, r.HedgeDecode = policy.None, policy.None, policy.None
 	s.expectOutput(now, r)
-	s.opts.Retry.Arrived(now)
+	s.opts.Retry.Arrived(now, r)
 	s.place(now, r, 0)
 	s.meter(r.Model).offered(now, r)
 	return s.actions
@@ -135,7 +138,10 @@
 
 func (s *Scheduler) dispatch(now time.Duration, r *policy.Request, c policy.Choice, delay time.Duration) {
 	r.Prefill, r.Decode = c.Prefill, c.Decode
-	r.Cached = s.cached(r, c.Prefill)
+	r.Cached, r.Backlog, r.PromptDone = s.cached(r, c.Prefill), c.Backlog, false
+	if c.Source != nil {
+		r.Cached = max(r.Cached, c.Cached)
+	}
 	r.Dispatched = now + delay
 	r.ExpectedFirst, r.ExpectedFinish = c.FirstToken, c.Finish
 	r.NominalFirst = time.Duration(float64(c.FirstToken) / max(s.opts.Health.Factor(c.Prefill), 1))
@@ -144,7 +150,10 @@
 	s.enter(r)
 	s.account(r, current(r))
 	s.insert(now, r, c.Prefill)
-	s.actions = append(s.actions, Action{Kind: Dispatch, Request: r, Prefill: c.Prefill, Decode: c.Decode, Delay: delay})
+	if s.opts.KeepsImports && c.Decode != c.Prefill {
+		s.insert(now, r, c.Decode)
+	}
+	s.actions = append(s.actions, Action{Kind: Dispatch, Request: r, Prefill: c.Prefill, Decode: c.Decode, Source: c.Source, Delay: delay})
 	s.probe(now, r)
 }
 
@@ -176,12 +185,38 @@
 		return
 	}
 	s.HedgeSettled(now, r, false)
-	s.measureFirst(now, r)
-	s.settlePrefill(r, current(r))
+	s.promptDone(now, r)
 	r.FirstAt = max(now, 1) // 0 means no token yet
 	r.MeasuredAt, r.MeasuredTokens = now, r.Generated
 }
 
+// PromptComputed notes that the prompt of r is computed at an engine that only computes prompts.
+func (s *Scheduler) PromptComputed(now time.Duration, r *policy.Request) []Action {
+	s.actions = s.actions[:0]
+	if s.inFlight(r) && r.FirstAt == 0 {
+		s.promptDone(now, r)
+		s.drain(now)
+	}
+	return s.actions
+}
+
+func (s *Scheduler) promptDone(now time.Duration, r *policy.Request) {
+	if r.PromptDone {
+		return
+	}
+	s.measureFirst(now, r)
+	s.learnPrompt(now, r, true)
+	s.settlePrefill(r, current(r))
+	r.PromptDone = true
+}
+
+// learnPrompt tells the router how long r's prompt took, or has taken so far.
+func (s *Scheduler) learnPrompt(now time.Duration, r *policy.Request, done bool) {
+	if l, ok := s.opts.Router.(policy.Learner); ok && r.Model != "" {
+		l.Learn(now, r, &s.fleet, now-r.Dispatched, done)
+	}
+}
+
 // Progress notes n more output tokens of r.
 func (s *Scheduler) Progress(now time.Duration, r *policy.Request, n int) {
 	before := remaining(r)
@@ -235,6 +270,7 @@
 	mayHaveRun := o != policy.RefusedNotRun && o != policy.FailedBeforeSend
 	if mayHaveRun {
 		s.ran[r.ID] = true
+		r.RanAt++
 	}
 	r.Avoid, r.AvoidDecode = r.Prefill, r.Decode
 	r.Prefill, r.Decode = policy.None, policy.None
@@ -247,7 +283,10 @@
 		return
 	}
 	ok, delay := s.opts.Retry.Retry(now, r, o)
-	if !ok && (r.Generated == 0 || r.Attempts >= maxResumes) {
+	if r.Bounded && r.RanAt > r.Resends {
+		ok = false
+	}
+	if !ok && (r.Generated == 0 || r.Bounded || r.Attempts >= maxResumes) {
 		s.refuse(now, r, result.RetryBudgetUsed, time.Second)
 		return
 	}
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -70,6 +70,7 @@
 	}
 	r.Overdue++
 	s.measureFirst(now, r)
+	s.learnPrompt(now, r, false)
 }
 
 // tryHedge starts a second attempt of a late idempotent request at another upstream that can take it at once.
@@ -88,7 +89,7 @@
 	if c.Prefill == policy.None || c.Prefill == r.Prefill || c.Defer {
 		return
 	}
-	s.opts.Retry.Hedged()
+	s.opts.Retry.Hedged(now, r)
 	s.hedge(now, r, c)
 }
 
@@ -212,6 +213,9 @@
 // rescue preempts one stream at an upstream that has been found slow, so that it goes on elsewhere. One in each tick keeps
 // the others from being flooded.
 func (s *Scheduler) rescue(now time.Duration) {
+	if s.opts.NoRescue {
+		return
+	}
 	for _, r := range s.running {
 		if !r.Idempotent || r.FirstAt == 0 || r.Rescued >= 2 || r.Model == "" || !s.opts.Health.Excluded(now, r.Decode) {
 			continue
