Notice a silent watch and the store's return within the bounds

Ruled out: the peers' revision alone; after a lost history all VMs miss it. Change: watches wait 2 s; after a failure a kind is listed with a short patience in place of watched; entries are kept 2.05 s after the return.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -67,7 +67,7 @@
 }
 
 // DefaultReturnGrace is slightly more than the two seconds in which upstreams register again.
-const DefaultReturnGrace = 2200 * time.Millisecond
+const DefaultReturnGrace = 2050 * time.Millisecond
 
 // State is what is in force. It is immutable.
 type State struct {
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -17,10 +17,14 @@
 	// settleAfter is waited after an event before the next watch, so that changes in quick succession cost one call.
 	settleAfter = 100 * time.Millisecond
 	// peerCheck is how often a VM without the store looks for a newer state at its peers.
-	peerCheck   = 200 * time.Millisecond
-	retryMin    = 100 * time.Millisecond // between two tries of a store that does not answer
-	retryMax    = 500 * time.Millisecond // a fourth of the bound within which a change must be in force
-	expireEvery = 250 * time.Millisecond
+	peerCheck = 200 * time.Millisecond
+	retryMin  = 50 * time.Millisecond  // between two tries of a store that does not answer
+	retryMax  = 150 * time.Millisecond // its return is noticed before the entries that lapsed meanwhile have to be judged
+	// listPatience bounds a list call. One call in patientEvery gets longPatience, for a store that answers slowly.
+	listPatience = 650 * time.Millisecond
+	longPatience = 2500 * time.Millisecond
+	patientEvery = 3
+	expireEvery  = 250 * time.Millisecond
 )
 
 // Peers fetches the state of another entry VM.
@@ -48,9 +52,8 @@
 	for failures := 0; ctx.Err() == nil; {
 		var err error
 		if !listed {
-			if from, err = load(ctx); err == nil {
-				listed = true
-			}
+			from, err = loadWithin(ctx, load, failures)
+			listed = err == nil
 		} else {
 			from, err = c.watch(ctx, kind, from, take)
 			if errors.Is(err, store.ErrWatchGap) {
@@ -68,6 +71,7 @@
 			continue
 		}
 		failures++
+		listed = false // a new list shows sooner than a watch whether the store is back
 		c.lost(kind, err)
 		wait := min(retryMin<<min(failures-1, 4), retryMax)
 		if c.opts.Clock.Sleep(ctx, wait/2+store.Backoff(0)%(wait/2)) != nil {
@@ -77,6 +81,17 @@
 	return nil
 }
 
+// loadWithin lists a kind within a time that suits the failures so far.
+func loadWithin(ctx context.Context, load func(context.Context) (uint64, error), failures int) (uint64, error) {
+	patience := listPatience
+	if failures%patientEvery == patientEvery-1 {
+		patience = longPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	return load(ctx)
+}
+
 // watch waits for changes once and takes them.
 func (c *Catalog) watch(ctx context.Context, kind string, from uint64, take func(time.Time, store.Event) bool) (uint64, error) {
 	events, next, err := c.opts.Store.Watch(ctx, kind, from)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -225,8 +225,8 @@
 	return nil
 }
 
-// certainFor is how long the last confirmation of the configuration counts: the store answers a watch or fails within it.
-const certainFor = 12 * time.Second
+// certainFor is how long the last confirmation of the configuration counts. The store answers a watch every two seconds.
+const certainFor = 4 * time.Second
 
 func (e *Edge) certain() bool {
 	age, ok := e.catalog.Confirmed()
