Leave suspects out of the directory's answers

Ruled out: a shorter suspicion, which would count paused members as cut off. Change: members tell whether they are suspects; the directory leaves them out while they are the smaller part. Changes of a member's revision alone are not logged.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -130,21 +130,37 @@
 
 // addresses are those of the entry VMs that take callers, in the order of their nearness.
 func (e *Edge) addresses(dataCentre string) ([]string, time.Duration) {
+	list := answerable(e.list.Members(), e.set.VM, e.ready())
 	var near, far []string
-	self := e.list.Self()
-	for _, m := range e.list.Members() {
-		switch {
-		case m.CallerAddress == "" || m.State != membership.Alive:
-		case m.Name == self.Name && !e.ready():
-		case m.DataCentre == dataCentre:
+	for _, m := range list {
+		if m.DataCentre == dataCentre {
 			near = append(near, m.CallerAddress)
-		default:
+		} else {
 			far = append(far, m.CallerAddress)
 		}
 	}
 	return append(slices.Clip(near), far...), min(addressLife, max(e.set.Bounds.AddressLife, 0))
 }
 
+// answerable returns the members that callers may be sent to. Suspects are left out while they are the smaller part: many at once
+// say more about this VM's own links.
+func answerable(all []membership.Member, self string, ready bool) []membership.Member {
+	var sound, suspect []membership.Member
+	for _, m := range all {
+		switch {
+		case m.CallerAddress == "" || m.State != membership.Alive || m.Name == self && !ready:
+		case m.Suspect && m.Name != self:
+			suspect = append(suspect, m)
+		default:
+			sound = append(sound, m)
+		}
+	}
+	if len(suspect) > len(sound) {
+		return append(sound, suspect...)
+	}
+	return sound
+}
+
 // Times of a stop, from its signal.
 const (
 	// keepAddresses is how long callers may still come with an address that they hold.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -75,6 +76,7 @@
 	hurry     chan struct{} // asks tableLoop for an exchange at once
 	rejoined  bool
 	listSeeds []string
+	logged    map[string]string // last line of each member; owned by dispatch
 
 	sentBytes, receivedBytes *metrics.Counter
 	rejected, droppedEvents  *metrics.Counter
@@ -107,7 +109,7 @@
 	}
 	s := &Service{
 		o: o, core: newCore(o.Self, o.Seed), handlers: map[string]func(Event){}, observers: map[int]func(Member){},
-		changes: map[string]Member{}, wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
+		changes: map[string]Member{}, logged: map[string]string{}, wake: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
 		sentBytes:     metrics.GetOrCreateCounter(`bergamot_membership_bytes_total{direction="sent"}`),
 		receivedBytes: metrics.GetOrCreateCounter(`bergamot_membership_bytes_total{direction="received"}`),
 		rejected:      metrics.GetOrCreateCounter(`bergamot_membership_rejected_datagrams_total`),
@@ -225,6 +227,20 @@
 	}
 }
 
+// logChange logs a change of what is believed of a member, and leaves out those of its revision alone.
+func (s *Service) logChange(m Member) {
+	believed := fmt.Sprint(m.State, m.Suspect, m.Incarnation)
+	if s.logged[m.Name] == believed {
+		return
+	}
+	s.logged[m.Name] = believed
+	if m.State == Gone {
+		delete(s.logged, m.Name)
+	}
+	s.o.Log.Info("member changed", zap.String("member", m.Name), zap.Stringer("state", m.State), zap.Bool("suspect", m.Suspect),
+		zap.Uint64("incarnation", m.Incarnation))
+}
+
 func (s *Service) dispatch() {
 	s.mu.Lock()
 	names, changes, events, rejoined := s.changeSeq, s.changes, s.inbox, s.rejoined
@@ -245,8 +261,7 @@
 		s.o.WasDeclaredGone()
 	}
 	for _, name := range names {
-		s.o.Log.Info("member changed", zap.String("member", name), zap.Stringer("state", changes[name].State),
-			zap.Uint64("incarnation", changes[name].Incarnation))
+		s.logChange(changes[name])
 		for _, f := range observers {
 			f(changes[name])
 		}
--- a/membership/table.go
+++ b/membership/table.go
@@ -45,7 +45,7 @@
 
 func (e *entry) view() Member {
 	m := e.m
-	m.State, m.Since = e.state(), e.since
+	m.State, m.Since, m.Suspect = e.state(), e.since, e.health == suspect
 	return m
 }
 
