Learn engines' rates by their better prompts; hand-overs first

Cause: a prompt that waits behind others that this VM does not know of looks like a slow engine; rates were learned two to three times too low, so that requests were refused and spread badly. Pieces were fetched from engines that had not computed them yet, and hand-overs waited behind prompts. Ruled out: the engines themselves; prompts without a wait took the time that 40 and 110 tokens a ms give, where 15 and 40 were believed. Change: a rate rises by 0.35 and falls by 0.1 of a measurement, weighted by its tokens; cached pieces are told and fetched once they are computed; a computed prompt has the highest urgency.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -161,13 +161,6 @@
 // attemptStream sends a request whose answer is a stream of events.
 func (x *exchange) attemptStream(ctx context.Context, p *gateway.Placement) error {
 	x.logSend(p)
-	if len(x.call.Parts) > 1 {
-		if p.Prefill.Name != p.Decode.Name {
-			x.f.opts.Placed(x.call.Parts[:len(x.call.Parts)-1], p.Prefill.Name, p.Decode.Name)
-		} else {
-			x.f.opts.Placed(x.call.Parts[:len(x.call.Parts)-1], p.Decode.Name)
-		}
-	}
 	handle := ""
 	if p.Prefill.Name != p.Decode.Name {
 		var err error
@@ -175,11 +168,13 @@
 			return err
 		}
 		p.PromptComputed()
+		x.placed(&p.Prefill)
 	}
 	s := x.send(&p.Decode)
 	s.After = x.lastID
 	if handle != "" {
-		s.Stage, s.Source, s.Handle = Generate, p.Prefill.Address, handle
+		// A computed prompt needs a slot and no computing, so it delays nobody.
+		s.Stage, s.Source, s.Handle, s.Urgency = Generate, p.Prefill.Address, handle, 0
 	} else if p.Source.Name != "" {
 		s.FetchFrom = p.Source.Address
 	}
@@ -313,11 +308,21 @@
 		if x.firstAt == 0 {
 			x.firstAt = time.Since(x.arrival)
 		}
+		if first {
+			x.placed(&p.Decode)
+		}
 		p.Output(first, x.tokensPerEvent())
 		first = false
 	}
 }
 
+// placed tells which engine holds the shared parts of the prompt now.
+func (x *exchange) placed(at *topo.Upstream) {
+	if n := len(x.call.Parts) - 1; n > 0 {
+		x.f.opts.Placed(x.call.Parts[:n], at.Name)
+	}
+}
+
 // eventBuffer holds several events.
 const eventBuffer = 4 << 10
 
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -15,8 +15,8 @@
 type eventKind int
 
 const (
-	evOffer eventKind = iota
-	evPrompt // the prompt is computed at an engine that only computes prompts
+	evOffer  eventKind = iota
+	evPrompt           // the prompt is computed at an engine that only computes prompts
 	evFirst
 	evProgress
 	evFinished // the attempt has ended; the scheduler decides what follows
@@ -44,6 +44,8 @@
 	prefill, decode topo.Upstream
 	source          *topo.Upstream // nil: nothing is fetched
 	cached          int            // pieces believed cached at prefill
+	expectedFirst   time.Duration
+	backlog         float64 // prompt tokens ahead at prefill
 	hedge           bool
 	cancel          context.CancelCauseFunc // of a hedge
 }
@@ -213,7 +215,7 @@
 		if a.Source != nil {
 			o.source = &a.Source.Spec
 		}
-		o.cached = a.Request.Cached
+		o.cached, o.expectedFirst, o.backlog = a.Request.Cached, a.Request.ExpectedFirst, a.Request.Backlog
 	}
 	switch a.Kind {
 	case scheduler.Dispatch:
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/quarantine"
@@ -27,6 +28,9 @@
 	Number  int
 	Hedge   bool
 	Cached  int // pieces believed cached at Prefill
+	// What the decision rested on.
+	ExpectedFirst time.Duration // from the dispatch to the first output
+	Backlog       float64       // prompt tokens ahead at Prefill
 
 	g *Gateway
 	f *flight
@@ -65,7 +69,7 @@
 	f.req.ID = id
 	f.fingerprint, f.idempotent, f.ctx = w.Fingerprint, w.Request.Idempotent, ctx
 	f.attempt = func(ctx context.Context, o *order) error {
-		p := &Placement{Prefill: o.prefill, Decode: o.decode, Number: o.attempt, Hedge: o.hedge, Cached: o.cached, g: g, f: f, o: o}
+		p := &Placement{Prefill: o.prefill, Decode: o.decode, Number: o.attempt, Hedge: o.hedge, Cached: o.cached, ExpectedFirst: o.expectedFirst, Backlog: o.backlog, g: g, f: f, o: o}
 		if o.source != nil {
 			p.Source = *o.source
 		}
@@ -74,4 +78,3 @@
 	g.loop.send(event{kind: evOffer, flight: f})
 	return g.pump(ctx, f)
 }
-
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -82,6 +82,7 @@
 	// Set at dispatch.
 	Cached         int           // pieces believed cached at Prefill, or fetched from Source
 	Backlog        float64       // prompt tokens that Prefill was believed to compute before this one
+	Counted        bool          // in Computing of Prefill
 	PromptDone     bool          // the prompt is computed at Prefill, its first token is not there yet
 	RanAt          int           // attempts that may have run
 	ExpectedFirst  time.Duration // time to the first token, from dispatch
@@ -171,6 +172,8 @@
 	ReportSeen time.Duration
 
 	Cache PrefixIndex
+	// Computing counts the own requests in hand whose shared pieces are not computed yet, by the first piece. Cache has them already.
+	Computing map[uint64]int
 }
 
 // Takes reports whether u may get r now. At most one own suspect runs on an upstream, so that a crash there convicts the
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -32,7 +32,9 @@
 	WorkWeight    float64 `json:"work_weight"`      // of the engine time taken from others, in the score
 	AwayMS        float64 `json:"away_ms"`          // charge for a prompt that no engine holds and that does not go to its home
 	MaxBacklogMS  float64 `json:"max_backlog_ms"`   // expected wait above which work stays in the entry VM
-	Smoothing     float64 `json:"smoothing"`        // weight of one measurement
+	RiseWeight    float64 `json:"rise_weight"`      // of a measurement above the known rate
+	FallWeight    float64 `json:"fall_weight"`      // of one below it: mostly a wait that was not known of
+	FullWork      float64 `json:"full_work"`        // tokens from which a measurement has its full weight
 	Oversubscribe float64 `json:"oversubscribe"`    // streams per slot above which work stays in the entry VM
 	MoveBytesPerS float64 `json:"move_bytes_per_s"` // of an engine's link, for KV cache
 	TokenBytes    float64 `json:"token_bytes"`      // KV cache of one token
@@ -55,7 +57,7 @@
 	return kernel.Info{ID: "routing.measured", New: func() kernel.Module {
 		return &Measured{
 			Seed: 1, PrefillRate: 60000, DecodeRate: 25000, OverheadMS: 35, HandOverMS: 30, FetchMS: 20, StreamMS: 0.3, TokenMS: 6,
-			WorkWeight: 1, AwayMS: 40, MaxBacklogMS: 400, Smoothing: 0.25, Oversubscribe: 1, MoveBytesPerS: 12e9, TokenBytes: 20000,
+			WorkWeight: 1, AwayMS: 40, MaxBacklogMS: 400, RiseWeight: 0.35, FallWeight: 0.1, FullWork: 4000, Oversubscribe: 1, MoveBytesPerS: 12e9, TokenBytes: 20000,
 		}
 	}}
 }
@@ -70,13 +72,14 @@
 
 // Validate implements kernel.Validator.
 func (p *Measured) Validate() error {
-	if p.PrefillRate <= 0 || p.DecodeRate <= 0 || p.MaxBacklogMS <= 0 || p.Smoothing <= 0 || p.Smoothing > 1 || p.MoveBytesPerS <= 0 {
-		return errors.New("prefill_rate, decode_rate, max_backlog_ms and move_bytes_per_s must be positive, smoothing in (0, 1]")
+	if p.PrefillRate <= 0 || p.DecodeRate <= 0 || p.MaxBacklogMS <= 0 || p.RiseWeight <= 0 || p.FallWeight <= 0 || p.FullWork <= 0 || p.MoveBytesPerS <= 0 {
+		return errors.New("prefill_rate, decode_rate, max_backlog_ms, rise_weight, fall_weight, full_work and move_bytes_per_s must be positive")
 	}
 	return nil
 }
 
 const (
+	maxStep = 1.0   // of one measurement, in powers of e
 	minRate = 500.0 // tokens a second; slower engines are avoided all the same
 	// rateLife is the age from which a measured rate drifts back to the typical one, so that an engine that was slow for a while
 	// is tried again.
@@ -109,7 +112,8 @@
 	return r.value
 }
 
-// Learn implements policy.Learner. The time of a prompt covers those that were ahead of it.
+// Learn implements policy.Learner. The time of a prompt covers those that were ahead of it. Waits behind prompts of other entry VMs
+// that were not known of make an engine look slow, so a rate rises faster than it falls.
 func (p *Measured) Learn(now time.Duration, r *policy.Request, f *policy.Fleet, took time.Duration, done bool) {
 	u := f.Upstreams[r.Prefill]
 	work := r.Work(r.Cached) + r.Backlog
@@ -129,14 +133,17 @@
 	if e.hash != u.Hash {
 		*e = engineRate{hash: u.Hash}
 	}
-	sample = min(sample, 4*known)
-	// Times add up where rates do not, so the mean is taken over the time of a token.
-	e.value = 1 / (p.Smoothing/sample + (1-p.Smoothing)/known)
+	weight := p.FallWeight
+	if sample > known {
+		weight = p.RiseWeight
+	}
+	weight *= min(work/p.FullWork, 1)
+	step := weight * min(max(math.Log(sample/known), -maxStep), maxStep)
+	e.value = known * math.Exp(step)
 	e.n++
 	e.at = now
-	k := kindOf(u)
-	const typicalSmoothing = 0.05 // a fleet changes slowly
-	p.typic[k] = 1 / (typicalSmoothing/sample + (1-typicalSmoothing)/p.typic[k])
+	const typicalPart = 0.2 // a fleet changes more slowly than an engine
+	p.typic[kindOf(u)] *= math.Exp(typicalPart * step)
 }
 
 // plan is one way to run a request.
@@ -264,7 +271,7 @@
 	}
 	for _, i := range list {
 		u := f.Upstreams[i]
-		if u.Cache == nil || !u.Accepting {
+		if u.Cache == nil || !u.Accepting || u.Computing[r.Prefix[0]] > 0 {
 			continue
 		}
 		if n := u.Cache.Match(r.Prefix); n > held {
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -33,6 +33,24 @@
 		addRunning(d, r, 1)
 	}
 	d.OwnRemaining += remaining(r)
+	if len(r.Prefix) > 0 && !r.Counted && a.cached < len(r.Prefix) {
+		if p.Computing == nil {
+			p.Computing = map[uint64]int{}
+		}
+		p.Computing[r.Prefix[0]]++
+		r.Counted = true
+	}
+}
+
+// computed takes r's shared pieces off the list of those that are not computed yet.
+func computed(p *policy.Upstream, r *policy.Request) {
+	if !r.Counted {
+		return
+	}
+	r.Counted = false
+	if p.Computing[r.Prefix[0]]--; p.Computing[r.Prefix[0]] <= 0 {
+		delete(p.Computing, r.Prefix[0])
+	}
 }
 
 func addRunning(u *policy.Upstream, r *policy.Request, n int) {
@@ -53,6 +71,7 @@
 func (s *Scheduler) settlePrefill(r *policy.Request, a attempt) {
 	p := s.fleet.Upstreams[a.prefill]
 	s.addPrefill(p, r, -promptWork(r, a))
+	computed(p, r)
 	if a.decode != a.prefill {
 		addRunning(p, r, -1)
 		clearIdle(p)
