Tell peers of sends at once; exclude unreachable upstreams at once

Cause: entry VMs told their load every 100 ms, so that in a burst all sent to the engine that looked idle; requests to a crashed engine were tried there up to four times and then refused for lack of budget. Ruled out: larger budgets; nothing reached the engines.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -29,7 +29,7 @@
 }
 
 const (
-	defaultDialTimeout  = 500 * time.Millisecond // links are below 5 ms one way; a lost packet is repeated after 200 ms
+	defaultDialTimeout  = 250 * time.Millisecond // links are below 5 ms one way; a dark upstream must not cost a target time
 	defaultSilenceLimit = 2 * time.Second        // half of the shortest deadline in use
 	defaultMaxIdle      = 16
 	defaultIdleLife     = 4 * time.Second
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -218,6 +218,7 @@
 	e.front = forward.New(forward.Options{
 		Gateway: e.gateway, Pool: e.pool, Codec: platform.Codec{}, Table: e.catalog.Table, Certain: e.certain, Log: e.log,
 		Placed:  func(parts []policy.Part, upstreams ...string) { e.loads.Placed(parts, upstreams...) },
+		Sent:    func() { e.loads.Changed() },
 		Leaving: func(upstream string) { e.catalog.Leaving(forward.InstanceOf(upstream), "upstream") },
 	})
 	e.addContext("gateway", e.gateway.Run)
--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
-	health, err := kernel.Load[policy.HealthTracker]("health.relative", nil)
+	health, err := kernel.Load[policy.HealthTracker]("health.reachable", nil)
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -223,33 +223,31 @@
 	start := time.Now()
 	resp, _, err := x.do(ctx, &p.Prefill, &s)
 	if err != nil {
-		return "", x.promptFailed(ctx, err)
+		return "", x.promptFailed(err)
 	}
 	defer resp.Close()
 	body, err := resp.ReadAll(maxAnswer)
 	if err != nil {
-		return "", x.promptFailed(ctx, x.failure(ctx, &p.Prefill, err))
+		return "", x.promptFailed(x.failure(ctx, &p.Prefill, err))
 	}
 	if resp.Status != http.StatusOK {
 		x.f.opts.Log.Info("prompt not computed", zap.String("request", x.call.ID), zap.String("upstream", p.Prefill.Name), zap.Int("status", resp.Status))
-		return "", &upstream.Failure{Outcome: policy.FailedBeforeSend, Code: result.UpstreamFailed, Cause: errServerError}
+		return "", &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.UpstreamFailed, Cause: errServerError}
 	}
 	handle, err := x.f.opts.Codec.Handle(body)
 	if err != nil {
-		return "", &upstream.Failure{Outcome: policy.FailedBeforeSend, Code: result.AnswerMismatch, Cause: err}
+		return "", &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.AnswerMismatch, Cause: err}
 	}
 	x.f.opts.Log.Debug("prompt computed", zap.String("request", x.call.ID), zap.String("upstream", p.Prefill.Name),
 		zap.Int("tokens", x.call.Prompt), zap.Int("cached", p.Cached*policy.PieceTokens), zap.Duration("took", time.Since(start)))
 	return handle, nil
 }
 
-func (x *exchange) promptFailed(ctx context.Context, err error) error {
+// promptFailed gives a failure before the run its outcome: the request did not run, whether or not it reached the engine.
+func (x *exchange) promptFailed(err error) error {
 	var f *upstream.Failure
-	if errors.As(err, &f) && ctx.Err() == nil && f.Outcome != policy.RefusedNotRun {
-		f.Outcome = policy.FailedBeforeSend
-	}
-	if errors.As(err, &f) && ctx.Err() != nil {
-		f.Outcome = policy.FailedBeforeSend
+	if errors.As(err, &f) && f.Outcome != policy.FailedBeforeSend {
+		f.Outcome = policy.RefusedNotRun
 	}
 	return err
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -28,7 +28,7 @@
 	"bergamotcroft.example/bergamot/routes"
 )
 
-// Options configures a Front. All but Log, Placed, Leaving and Loaded are required.
+// Options configures a Front. All but Log and the functions that are told of something are required.
 type Options struct {
 	Gateway *gateway.Gateway
 	Pool    *conns.Pool
@@ -39,6 +39,8 @@
 	Log     *zap.Logger
 	// Placed is told of each prompt with shared parts and the engines that will hold them.
 	Placed func(parts []policy.Part, upstreams ...string)
+	// Sent is told of each send, before it.
+	Sent func()
 	// Leaving is told when an upstream answers that it takes no more work.
 	Leaving func(upstream string)
 	// Loaded is told of the load that an upstream states.
@@ -60,6 +62,9 @@
 	if o.Placed == nil {
 		o.Placed = func([]policy.Part, ...string) {}
 	}
+	if o.Sent == nil {
+		o.Sent = func() {}
+	}
 	if o.Leaving == nil {
 		o.Leaving = func(string) {}
 	}
--- a/forward/record.go
+++ b/forward/record.go
@@ -41,6 +41,7 @@
 
 // logSend writes the decision where to send a request.
 func (x *exchange) logSend(p *gateway.Placement) {
+	x.f.opts.Sent()
 	x.f.opts.Log.Info("send", zap.String("request", x.call.ID), zap.Int("attempt", p.Number), zap.Bool("hedge", p.Hedge),
 		zap.String("service", x.service), zap.String("prompt_at", p.Prefill.Name), zap.String("upstream", p.Decode.Name),
 		zap.String("fetch_from", p.Source.Name), zap.Int("tokens", x.call.Prompt), zap.Int("cached_pieces", p.Cached), zap.Float64("backlog", p.Backlog), zap.Duration("expected", p.ExpectedFirst),
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -35,7 +35,10 @@
 }
 
 const (
-	interval = 100 * time.Millisecond // an engine computes a long prompt in two or three of it
+	interval = 100 * time.Millisecond // without a cause, for what has ended
+	// gather is waited after a cause, so that what happens at once shares a message. Entry VMs that do not know of one another's
+	// prompts for longer send them to the same engine.
+	gather = 5 * time.Millisecond
 	// refresh is the longest time between two messages while something is in hand. Peers forget after life.
 	refresh = 400 * time.Millisecond
 	life    = time.Second
@@ -51,6 +54,8 @@
 type Exchange struct {
 	opts Options
 
+	wake chan struct{}
+
 	mu      sync.Mutex
 	pending []pending
 	peers   map[string]*heard
@@ -84,7 +89,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Exchange{opts: o, peers: map[string]*heard{}}
+	return &Exchange{opts: o, peers: map[string]*heard{}, wake: make(chan struct{}, 1)}
 }
 
 // Run takes part until ctx ends.
@@ -103,13 +108,23 @@
 			case <-ctx.Done():
 				return nil
 			case <-t.C:
-				x.round(ctx, time.Now())
+			case <-x.wake:
+				time.Sleep(gather)
 			}
+			x.round(ctx, time.Now())
 		}
 	})
 	return g.Wait()
 }
 
+// Changed tells that work was placed, so that peers hear of it at once.
+func (x *Exchange) Changed() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Placed notes that upstreams will hold the parts, so that peers send prompts with them there.
 func (x *Exchange) Placed(parts []policy.Part, upstreams ...string) {
 	if len(parts) > maxParts {
@@ -305,4 +320,5 @@
 		x.places = x.places[len(x.places)-maxPending:]
 	}
 	x.fresh = true
+	x.Changed()
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -278,6 +278,8 @@
 	Measured time.Duration
 	Tokens   int
 	Failed   bool // connection error, crash or time out
+	// Unreachable says that no connection could be established.
+	Unreachable bool
 }
 
 // ObservationKind says what was measured.
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -40,6 +40,9 @@
 // windowBuckets divides the window; one bucket more is counted for resends, so that every span of the length holds.
 const windowBuckets = 11
 
+// unsentFactor times the attempts of a request may fail before anything is sent; a fleet can lose several upstreams at once.
+const unsentFactor = 3
+
 // ownPart of the allowance is used. The rest covers requests that are counted in another window than here.
 const ownPart = 0.85
 
@@ -111,8 +114,14 @@
 }
 
 // Retry implements policy.RetryPolicy.
-func (w *Window) Retry(now time.Duration, r *policy.Request, _ policy.Outcome) (bool, time.Duration) {
-	if r.Attempts >= w.MaxAttempts || now >= r.Deadline {
+func (w *Window) Retry(now time.Duration, r *policy.Request, o policy.Outcome) (bool, time.Duration) {
+	if now >= r.Deadline {
+		return false, 0
+	}
+	if o == policy.FailedBeforeSend { // it reached no upstream, so it costs nothing
+		return r.Attempts < unsentFactor*w.MaxAttempts, 0
+	}
+	if r.Attempts >= w.MaxAttempts {
 		return false, 0
 	}
 	if n, _ := w.left(now, r); n < 1 {
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -118,7 +118,7 @@
 
 func (s *Scheduler) observeEnd(now time.Duration, r *policy.Request, o policy.Outcome) {
 	at := r.Prefill
-	if r.FirstAt != 0 {
+	if r.FirstAt != 0 || r.PromptDone {
 		at = r.Decode
 	}
 	switch o {
@@ -126,7 +126,9 @@
 		return
 	case policy.Completed:
 	default:
-		s.opts.Health.Observe(now, policy.Observation{Upstream: at, Kind: policy.ObservedCall, Failed: true})
+		s.opts.Health.Observe(now, policy.Observation{
+			Upstream: at, Kind: policy.ObservedCall, Failed: true, Unreachable: o == policy.FailedBeforeSend,
+		})
 		return
 	}
 	if u := s.fleet.Upstreams[r.Decode]; u.Spec.Kind == topo.KindService {
