Refuse by the first event against the callers' patience

Cause: requests were refused when the whole answer was expected late, with output estimates that are off several times; two thirds of what was not served was refused that way, a third of it light questions. Callers leave a stream that shows nothing for the longest of 2 s, four targets and eight pauses. Ruled out: overload; the engines had served these while others waited. Change: admission.patience refuses what can't begin in time; a request that has shown nothing by then is given up.

--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -24,7 +24,10 @@
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
-	admitter, err := kernel.Load[policy.Admitter]("admission.deadline", nil)
+	if m, ok := router.(*routing.Measured); ok {
+		m.DataCentre = e.set.DataCentre
+	}
+	admitter, err := kernel.Load[policy.Admitter]("admission.patience", nil)
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -225,6 +225,9 @@
 	if route.Target > 0 {
 		q.FirstToken = q.Arrival + route.Target
 	}
+	if route.Kind == routes.Stream {
+		q.FirstBy = q.Arrival + route.StreamPatience()
+	}
 	attempt := x.attemptWhole
 	if s := x.table.Services[x.service]; s != nil && s.Engine != nil {
 		q.Model = EngineModel(x.service, call.Model)
--- /dev/null
+++ b/policy/admission/patience.go
@@ -0,0 +1,71 @@
+package admission
+
+import (
+	"errors"
+	"time"
+
+	"bergamotcroft.example/bergamot/kernel"
+	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/result"
+)
+
+func init() { kernel.Register(&Patience{}) }
+
+// Patience refuses a request whose first output is expected after its caller will have left, and lets everything else wait. How long
+// the output will be is not held against a request: estimates of it are off by more than the limits leave.
+//
+// Load it answers: peaks of long prompts, where what can't begin in time is told so at once, with a time to come back at which the
+// peak may be over, and what is late yields to what can still be on time.
+type Patience struct {
+	Margin     float64 `json:"margin"`       // times the expected time
+	MinRetryMS int     `json:"min_retry_ms"` // least advice to come back
+	MaxRetryMS int     `json:"max_retry_ms"`
+}
+
+// ModuleInfo implements kernel.Module.
+func (*Patience) ModuleInfo() kernel.Info {
+	return kernel.Info{ID: "admission.patience", New: func() kernel.Module {
+		return &Patience{Margin: 1, MinRetryMS: 200, MaxRetryMS: 2000}
+	}}
+}
+
+// Validate implements kernel.Validator.
+func (p *Patience) Validate() error {
+	if p.Margin <= 0 || p.MinRetryMS <= 0 || p.MaxRetryMS < p.MinRetryMS {
+		return errors.New("margin and min_retry_ms must be positive, max_retry_ms at least min_retry_ms")
+	}
+	return nil
+}
+
+// Admit implements policy.Admitter.
+func (p *Patience) Admit(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
+	if c.Prefill == policy.None {
+		if anyAccepting(f, r) {
+			return policy.Verdict{Admit: true}
+		}
+		return policy.Verdict{Code: result.NoUpstream, RetryAfter: p.retryAfter(0)}
+	}
+	expected := time.Duration(p.Margin * float64(c.FirstToken))
+	if c.Defer {
+		expected = max(expected, q.WaitAhead)
+	}
+	if late := now + expected - r.GiveUpAt(); late > 0 {
+		return policy.Verdict{Code: result.CannotMeetDeadline, RetryAfter: p.retryAfter(late)}
+	}
+	return policy.Verdict{Admit: true}
+}
+
+func (p *Patience) retryAfter(late time.Duration) time.Duration {
+	return min(max(late, time.Duration(p.MinRetryMS)*time.Millisecond), time.Duration(p.MaxRetryMS)*time.Millisecond)
+}
+
+// Less implements policy.Admitter: by priority, then by arrival.
+func (p *Patience) Less(a, b *policy.Request) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return byArrival(a, b)
+}
+
+// Done implements policy.Admitter.
+func (p *Patience) Done(time.Duration, *policy.Request, float64) {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -65,6 +65,7 @@
 	Arrival    time.Duration
 	Deadline   time.Duration // absolute; the answer must be whole by then
 	FirstToken time.Duration // absolute target for the first token; 0: none
+	FirstBy    time.Duration // absolute; the caller leaves without a first token by then; 0: it waits until Deadline
 	Idempotent bool
 	Resends    int  // attempts beyond the first that may be made where each may run, at most; 0: no bound of its own
 	Bounded    bool // Resends holds, also when the answer has begun
@@ -123,6 +124,14 @@
 	return r.Model
 }
 
+// GiveUpAt is the time from which an answer that has not begun is of no use.
+func (r *Request) GiveUpAt() time.Duration {
+	if r.FirstBy > 0 && r.Generated == 0 {
+		return min(r.FirstBy, r.Deadline)
+	}
+	return r.Deadline
+}
+
 // Avoids reports whether upstream i took part in the last failed attempt.
 func (r *Request) Avoids(i int) bool { return i == r.Avoid || i == r.AvoidDecode }
 
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -31,6 +31,7 @@
 	TokenMS       float64 `json:"token_ms"`         // of one output token, before it is measured
 	WorkWeight    float64 `json:"work_weight"`      // of the engine time taken from others, in the score
 	AwayMS        float64 `json:"away_ms"`          // charge for a prompt that no engine holds and that does not go to its home
+	DistanceMS    float64 `json:"distance_ms"`      // charge for each 1,000 tokens of a prompt that is sent to another data centre
 	MaxBacklogMS  float64 `json:"max_backlog_ms"`   // expected wait above which work stays in the entry VM
 	RiseWeight    float64 `json:"rise_weight"`      // of a measurement above the known rate
 	FallWeight    float64 `json:"fall_weight"`      // of one below it: mostly a wait that was not known of
@@ -38,6 +39,7 @@
 	Oversubscribe float64 `json:"oversubscribe"`    // streams per slot above which work stays in the entry VM
 	MoveBytesPerS float64 `json:"move_bytes_per_s"` // of an engine's link, for KV cache
 	TokenBytes    float64 `json:"token_bytes"`      // KV cache of one token
+	DataCentre    string  `json:"data_centre"`      // of this entry VM; empty: distances are not charged
 
 	state uint64
 	rates []engineRate
@@ -57,7 +59,7 @@
 	return kernel.Info{ID: "routing.measured", New: func() kernel.Module {
 		return &Measured{
 			Seed: 1, PrefillRate: 60000, DecodeRate: 25000, OverheadMS: 35, HandOverMS: 30, FetchMS: 20, StreamMS: 0.3, TokenMS: 6,
-			WorkWeight: 1, AwayMS: 40, MaxBacklogMS: 400, RiseWeight: 0.35, FallWeight: 0.1, FullWork: 4000, Oversubscribe: 1, MoveBytesPerS: 12e9, TokenBytes: 20000,
+			WorkWeight: 1, AwayMS: 40, DistanceMS: 2, MaxBacklogMS: 400, RiseWeight: 0.35, FallWeight: 0.1, FullWork: 4000, Oversubscribe: 1, MoveBytesPerS: 12e9, TokenBytes: 20000,
 		}
 	}}
 }
@@ -208,7 +210,10 @@
 				q = fetched
 			}
 		}
-		q.score = q.first + p.WorkWeight*r.Work(q.cached)/p.rate(now, u) + p.tieBreak()
+		q.score = q.first + p.WorkWeight*r.Work(q.cached)/p.rate(now, u) + p.tieBreak() + p.distance(r, u)
+		if q.decode != u {
+			q.score += p.distance(r, q.decode)
+		}
 		if held == 0 && len(r.Prefix) > 0 && u != home {
 			q.score += p.AwayMS / 1000
 		}
@@ -229,6 +234,14 @@
 	return spread * float64(policy.Spread(p.state)>>40) / (1 << 24)
 }
 
+// distance is the charge for sending r to u. Bytes between data centres are dear, and a prompt's text is most of them.
+func (p *Measured) distance(r *policy.Request, u *policy.Upstream) float64 {
+	if p.DataCentre == "" || u.Spec.DataCentre == p.DataCentre {
+		return 0
+	}
+	return p.DistanceMS / 1000 * float64(r.PromptTokens) / 1000
+}
+
 // direct is the plan to compute the prompt at u with what u holds.
 func (p *Measured) direct(now time.Duration, r *policy.Request, f *policy.Fleet, u *policy.Upstream) plan {
 	q := plan{prefill: u, decode: u}
@@ -314,7 +327,7 @@
 		if !u.Takes(r) || u.Role == topo.RolePrefill || !loose && (r.Avoids(i) || f.Health.Excluded(now, i)) {
 			continue
 		}
-		load := p.load(now, u) + p.tieBreak()
+		load := p.load(now, u) + p.tieBreak() + p.distance(r, u)
 		if p.full(r, u) {
 			load += 1
 		}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -46,6 +46,18 @@
 // Repeatable says that a request that may have run can be sent again.
 func (r *Route) Repeatable() bool { return r.Kind == Idempotent || r.Kind == Stream && r.Resumable }
 
+// Callers leave a stream after a gap, also before its first event, of the longest of these.
+const (
+	minPatience    = 2 * time.Second
+	targetPatience = 4 // times the target
+	pausePatience  = 8 // times the longest pause that is on time
+)
+
+// StreamPatience is the time after which callers leave a stream that shows no event.
+func (r *Route) StreamPatience() time.Duration {
+	return max(minPatience, targetPatience*r.Target, pausePatience*r.MaxPause)
+}
+
 // Service is a set of upstreams that serve the same.
 type Service struct {
 	Name           string
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -90,7 +90,7 @@
 
 // place dispatches, queues or refuses r.
 func (s *Scheduler) place(now time.Duration, r *policy.Request, delay time.Duration) {
-	if now >= r.Deadline && r.Generated == 0 {
+	if now >= r.GiveUpAt() && r.Generated == 0 {
 		s.refuse(now, r, result.DeadlineExceeded, 0)
 		return
 	}
@@ -355,7 +355,7 @@
 
 // leaveQueue dispatches or refuses r, which has been taken from q, or reports that it must wait.
 func (s *Scheduler) leaveQueue(now time.Duration, q *queue, r *policy.Request) bool {
-	if now >= r.Deadline && r.Generated == 0 {
+	if now >= r.GiveUpAt() && r.Generated == 0 {
 		s.queued--
 		s.refuse(now, r, result.CannotMeetDeadline, time.Second)
 		return true
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -26,7 +26,7 @@
 		if now < r.Dispatched {
 			continue
 		}
-		if now >= r.Deadline && r.Generated == 0 {
+		if now >= r.GiveUpAt() && r.Generated == 0 {
 			s.giveUp(now, r)
 			i-- // the last request has taken this slot
 			continue
