Pick the engine for generation anew when the prompt is computed

Change: once the prompt is computed the scheduler picks again among the engines that accept work, and moves the request's account.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -77,9 +77,10 @@
 }
 
 var (
-	errRejected = errors.New("the upstream did not run the request")
-	errUnproven = errors.New("the answer does not prove its origin")
-	errGone     = errors.New("another attempt answers")
+	errRejected  = errors.New("the upstream did not run the request")
+	errUnproven  = errors.New("the answer does not prove its origin")
+	errNoDecoder = errors.New("no engine takes the computed prompt over")
+	errGone      = errors.New("another attempt answers")
 )
 
 // failure classifies an exchange that failed.
@@ -167,8 +168,11 @@
 		if handle, err = x.computePrompt(ctx, p); err != nil {
 			return err
 		}
-		p.PromptComputed()
 		x.placed(&p.Prefill)
+		if !p.PromptComputed(ctx) {
+			go x.free(p.Prefill, handle)
+			return &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.NoUpstream, Cause: errNoDecoder}
+		}
 	}
 	s := x.send(&p.Decode)
 	s.After = x.lastID
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -15,8 +15,7 @@
 type eventKind int
 
 const (
-	evOffer  eventKind = iota
-	evPrompt           // the prompt is computed at an engine that only computes prompts
+	evOffer eventKind = iota
 	evFirst
 	evProgress
 	evFinished // the attempt has ended; the scheduler decides what follows
@@ -130,10 +129,6 @@
 		l.flights[f.req.ID] = f
 		f.offered = now
 		l.apply(l.sched.Offer(now, &f.req))
-	case evPrompt:
-		if f.running == e.attempt {
-			l.apply(l.sched.PromptComputed(now, &f.req))
-		}
 	case evFirst:
 		if f.req.Generated == 0 { // the caller of a resumed stream had its first token before
 			l.metrics.firstToken(f.req.Class, now-f.offered)
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -7,6 +7,7 @@
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/quarantine"
 	"bergamotcroft.example/bergamot/result"
+	"bergamotcroft.example/bergamot/scheduler"
 	"bergamotcroft.example/bergamot/topo"
 )
 
@@ -40,9 +41,21 @@
 // Win claims the request's output for this attempt. Only the attempt that has it may write to the caller.
 func (p *Placement) Win() bool { return p.g.win(p.f, p.o) }
 
-// PromptComputed tells that the prompt is computed and waits at Prefill.
-func (p *Placement) PromptComputed() {
-	p.g.loop.send(event{kind: evPrompt, flight: p.f, attempt: p.o.attempt})
+// PromptComputed tells that the prompt is computed and waits at Prefill, and sets Decode to the engine that generates. It is false
+// when no engine takes the prompt over, or when nobody waits for the request any more.
+func (p *Placement) PromptComputed(ctx context.Context) bool {
+	ok := false
+	err := p.g.loop.do(ctx, func(now time.Duration, s *scheduler.Scheduler) {
+		if p.f.running != p.o.attempt {
+			return
+		}
+		decode, actions := s.PromptComputed(now, &p.f.req)
+		if ok = decode != policy.None; ok {
+			p.Decode = s.Fleet().Upstreams[decode].Spec
+		}
+		p.g.loop.apply(actions)
+	})
+	return ok && err == nil
 }
 
 // Output tells of output that has come; first says that it is the first of this attempt.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -254,6 +254,12 @@
 	Learn(now time.Duration, r *Request, f *Fleet, took time.Duration, done bool)
 }
 
+// DecoderPicker is a Router that chooses the engine for generation anew once a prompt is computed.
+type DecoderPicker interface {
+	// PickDecoder returns the engine that takes over r's computed prompt, or None.
+	PickDecoder(now time.Duration, r *Request, f *Fleet) int
+}
+
 // Verdict is an admitter's answer.
 type Verdict struct {
 	Admit      bool
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -338,6 +338,17 @@
 	return best
 }
 
+// PickDecoder implements policy.DecoderPicker.
+func (p *Measured) PickDecoder(now time.Duration, r *policy.Request, f *policy.Fleet) int {
+	list := f.Candidates(r)
+	for loose := range 2 {
+		if u := p.decoder(now, r, f, list, loose == 1); u != nil {
+			return u.Index
+		}
+	}
+	return policy.None
+}
+
 // load is the expected slowing of a stream at u, in seconds.
 func (p *Measured) load(now time.Duration, u *policy.Upstream) float64 {
 	rate := p.rate(now, u)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -190,14 +190,42 @@
 	r.MeasuredAt, r.MeasuredTokens = now, r.Generated
 }
 
-// PromptComputed notes that the prompt of r is computed at an engine that only computes prompts.
-func (s *Scheduler) PromptComputed(now time.Duration, r *policy.Request) []Action {
+// PromptComputed notes that the prompt of r is computed at an engine that only computes prompts, and returns the engine that
+// generates. The choice made at the dispatch may be seconds old; that engine may be leaving by now. None: no engine takes it.
+func (s *Scheduler) PromptComputed(now time.Duration, r *policy.Request) (int, []Action) {
 	s.actions = s.actions[:0]
-	if s.inFlight(r) && r.FirstAt == 0 {
-		s.promptDone(now, r)
-		s.drain(now)
+	if !s.inFlight(r) || r.FirstAt != 0 {
+		return policy.None, s.actions
 	}
-	return s.actions
+	s.promptDone(now, r)
+	decode := s.repick(now, r)
+	s.drain(now)
+	return decode, s.actions
+}
+
+// repick moves r to the engine for generation that is best now.
+func (s *Scheduler) repick(now time.Duration, r *policy.Request) int {
+	decode := r.Decode
+	if p, ok := s.opts.Router.(policy.DecoderPicker); ok {
+		decode = p.PickDecoder(now, r, &s.fleet)
+	}
+	if decode == policy.None || !s.fleet.Upstreams[decode].Accepting {
+		return policy.None
+	}
+	if decode == r.Decode {
+		return decode
+	}
+	old, next := s.fleet.Upstreams[r.Decode], s.fleet.Upstreams[decode]
+	addRunning(old, r, -1)
+	old.OwnRemaining = max(old.OwnRemaining-remaining(r), 0)
+	clearIdle(old)
+	addRunning(next, r, 1)
+	next.OwnRemaining += remaining(r)
+	r.Decode = decode
+	if s.opts.KeepsImports {
+		s.insert(now, r, decode)
+	}
+	return decode
 }
 
 func (s *Scheduler) promptDone(now time.Duration, r *policy.Request) {
