Leave out upstreams with a stalled attempt for a moment

Cause: an engine that went dark kept getting requests on kept connections; each entry VM lost several before the silence ended them after 2 s. Ruled out: a shorter silence limit alone; it ends what waits, too late for it.

--- a/policy/health/relative.go
+++ b/policy/health/relative.go
@@ -88,6 +88,9 @@
 
 // Observe implements policy.HealthTracker.
 func (h *Relative) Observe(now time.Duration, o policy.Observation) {
+	if o.Stalled {
+		return // measured with the others once it has ended
+	}
 	s := h.at(o.Upstream)
 	if o.Failed {
 		s.failures++
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -295,6 +295,8 @@
 	Failed   bool // connection error, crash or time out
 	// Unreachable says that no connection could be established.
 	Unreachable bool
+	// Stalled says that an attempt still in hand has shown nothing for much longer than expected.
+	Stalled bool
 }
 
 // ObservationKind says what was measured.
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -71,6 +71,11 @@
 	r.Overdue++
 	s.measureFirst(now, r)
 	s.learnPrompt(now, r, false)
+	at := r.Prefill
+	if r.PromptDone {
+		at = r.Decode
+	}
+	s.opts.Health.Observe(now, policy.Observation{Upstream: at, Kind: policy.ObservedFirstToken, Stalled: true})
 }
 
 // tryHedge starts a second attempt of a late idempotent request at another upstream that can take it at once.
