Leave silent peers out of the directory's answers

It had not heard the suspicion; the others had it after 2 s. Ruled out: the table exchange; it hands on suspicions. Change: VMs that tell their loads do so once a second at least; one that was silent for 3 s is left out of the answers. Fleets above 16 VMs do so within a data centre only.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -130,7 +130,10 @@
 
 // addresses are those of the entry VMs that take callers, in the order of their nearness.
 func (e *Edge) addresses(dataCentre string) ([]string, time.Duration) {
-	list := answerable(e.list.Members(), e.set.VM, e.ready())
+	now := time.Now()
+	list := answerable(e.list.Members(), e.set.VM, e.ready(), func(m *membership.Member) bool {
+		return m.Suspect || e.loads.Silent(now, m)
+	})
 	var near, far []string
 	for _, m := range list {
 		if m.DataCentre == dataCentre {
@@ -142,21 +145,22 @@
 	return append(slices.Clip(near), far...), min(addressLife, max(e.set.Bounds.AddressLife, 0))
 }
 
-// answerable returns the members that callers may be sent to. Suspects are left out while they are the smaller part: many at once
+// answerable returns the members that callers may be sent to. Doubtful ones are left out while they are the smaller part: many at once
 // say more about this VM's own links.
-func answerable(all []membership.Member, self string, ready bool) []membership.Member {
+func answerable(all []membership.Member, self string, ready bool, doubtful func(*membership.Member) bool) []membership.Member {
 	var sound, suspect []membership.Member
-	for _, m := range all {
+	for i := range all {
+		m := all[i]
 		switch {
 		case m.CallerAddress == "" || m.State != membership.Alive || m.Name == self && !ready:
-		case m.Suspect && m.Name != self:
+		case m.Name != self && doubtful(&m):
 			suspect = append(suspect, m)
 		default:
 			sound = append(sound, m)
 		}
 	}
 	if len(suspect) > len(sound) {
-		return append(sound, suspect...)
+		return append(sound, suspect...) // this VM is rather cut off itself
 	}
 	return sound
 }
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -42,6 +42,10 @@
 	// refresh is the longest time between two messages while something is in hand. Peers forget after life.
 	refresh = 400 * time.Millisecond
 	life    = time.Second
+	// keepAlive is the longest time between two messages, also with nothing in hand. A peer that sent nothing for silence is off or
+	// cut off.
+	keepAlive = time.Second
+	silence   = 3 * time.Second
 	// allPeers is the number of entry VMs up to which each tells all others. In larger fleets each tells those of its own data
 	// centre, so that the traffic between data centres does not grow with the square of the fleet.
 	allPeers = 16
@@ -59,11 +63,12 @@
 	mu      sync.Mutex
 	pending []pending
 	peers   map[string]*heard
+	last    map[string]time.Time // by host: the last message of a peer, also long ago
 	places  []placement // received and not yet applied
 	fresh   bool        // something came since the last look
 
 	seq      uint64
-	last     []load
+	lastOwn  []load
 	lastSent time.Time
 }
 
@@ -89,7 +94,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Exchange{opts: o, peers: map[string]*heard{}, wake: make(chan struct{}, 1)}
+	return &Exchange{opts: o, peers: map[string]*heard{}, last: map[string]time.Time{}, wake: make(chan struct{}, 1)}
 }
 
 // Run takes part until ctx ends.
@@ -125,6 +130,24 @@
 	}
 }
 
+// Silent says that a member has sent messages to this entry VM, and none for a time in which it should have.
+func (x *Exchange) Silent(now time.Time, m *membership.Member) bool {
+	host, ok := hostOf(m.Address)
+	if self := x.opts.List.Self(); !ok || m.DataCentre != self.DataCentre && len(x.opts.List.Members()) > allPeers {
+		return false
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	last, known := x.last[host]
+	if known && now.Sub(last) > forgetSilent {
+		delete(x.last, host)
+	}
+	return known && now.Sub(last) > silence
+}
+
+// forgetSilent is the age from which a silent peer is left to the membership.
+const forgetSilent = time.Minute
+
 // Placed notes that upstreams will hold the parts, so that peers send prompts with them there.
 func (x *Exchange) Placed(parts []policy.Part, upstreams ...string) {
 	if len(parts) > maxParts {
@@ -210,12 +233,16 @@
 	x.mu.Lock()
 	places := x.take()
 	x.mu.Unlock()
-	quiet := len(own) == 0 && len(x.last) == 0
-	if len(places) == 0 && (quiet || same(own, x.last) && now.Sub(x.lastSent) < refresh) {
+	quiet := len(own) == 0 && len(x.lastOwn) == 0
+	due := refresh
+	if quiet {
+		due = keepAlive
+	}
+	if len(places) == 0 && same(own, x.lastOwn) && now.Sub(x.lastSent) < due {
 		return
 	}
 	x.seq++
-	x.last, x.lastSent = own, now
+	x.lastOwn, x.lastSent = own, now
 	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, places: places}
 	datagram := membership.Seal(x.opts.Secret, m.encode())
 	if len(datagram) > maxDatagram {
@@ -314,6 +341,9 @@
 	if p != nil && (m.boot < p.boot || m.boot == p.boot && m.seq <= p.seq) {
 		return
 	}
+	if host, ok := hostOf(from); ok {
+		x.last[host] = now
+	}
 	x.peers[from] = &heard{boot: m.boot, seq: m.seq, at: now, loads: m.loads}
 	x.places = append(x.places, m.places...)
 	if len(x.places) > maxPending {
