--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,6 +88,7 @@
 	if err := e.listen(o.Metrics); err != nil {
 		return nil, err
 	}
+	e.buildRoles()
 	e.wire()
 	return e, nil
 }
