--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -174,15 +174,10 @@
 			return &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.NoUpstream, Cause: errNoDecoder}
 		}
 	}
-	s := x.send(&p.Decode)
-	s.After = x.lastID
-	if handle != "" {
-		// A computed prompt needs a slot and no computing, so it delays nobody.
-		s.Stage, s.Source, s.Handle, s.Urgency = Generate, p.Prefill.Address, handle, 0
-	} else if p.Source.Name != "" {
-		s.FetchFrom = p.Source.Address
+	resp, a, err := x.generate(ctx, p, handle)
+	for handle != "" && refused(err) && p.HandOverRefused(ctx) {
+		resp, a, err = x.generate(ctx, p, handle)
 	}
-	resp, a, err := x.do(ctx, &p.Decode, &s)
 	if err != nil {
 		if handle != "" {
 			go x.free(p.Prefill, handle)
@@ -200,6 +195,25 @@
 	return x.relay(ctx, p, resp)
 }
 
+// refused says that the upstream certainly did not run the request.
+func refused(err error) bool {
+	var f *upstream.Failure
+	return errors.As(err, &f) && (f.Outcome == policy.RefusedNotRun || f.Outcome == policy.FailedBeforeSend)
+}
+
+// generate sends the request to the engine that generates, with the computed prompt if there is one.
+func (x *exchange) generate(ctx context.Context, p *gateway.Placement, handle string) (*conns.Response, Answer, error) {
+	s := x.send(&p.Decode)
+	s.After = x.lastID
+	if handle != "" {
+		// A computed prompt needs a slot and no computing, so it delays nobody.
+		s.Stage, s.Source, s.Handle, s.Urgency = Generate, p.Prefill.Address, handle, 0
+	} else if p.Source.Name != "" {
+		s.FetchFrom = p.Source.Address
+	}
+	return x.do(ctx, &p.Decode, &s)
+}
+
 // streamFailed takes an answer other than a stream. It is the caller's answer unless a stream has begun.
 func (x *exchange) streamFailed(ctx context.Context, p *gateway.Placement, resp *conns.Response, a Answer) error {
 	got, err := x.readWhole(ctx, p, resp, a)
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -44,16 +44,29 @@
 // PromptComputed tells that the prompt is computed and waits at Prefill, and sets Decode to the engine that generates. It is false
 // when no engine takes the prompt over, or when nobody waits for the request any more.
 func (p *Placement) PromptComputed(ctx context.Context) bool {
+	return p.repick(ctx, func(now time.Duration, s *scheduler.Scheduler) int {
+		decode, actions := s.PromptComputed(now, &p.f.req)
+		p.g.loop.apply(actions)
+		return decode
+	})
+}
+
+// HandOverRefused tells that Decode has refused the computed prompt, and sets Decode to another engine. It is false when none is left
+// or no further send is allowed.
+func (p *Placement) HandOverRefused(ctx context.Context) bool {
+	return p.repick(ctx, func(now time.Duration, s *scheduler.Scheduler) int { return s.HandOverRefused(now, &p.f.req) })
+}
+
+func (p *Placement) repick(ctx context.Context, pick func(time.Duration, *scheduler.Scheduler) int) bool {
 	ok := false
 	err := p.g.loop.do(ctx, func(now time.Duration, s *scheduler.Scheduler) {
 		if p.f.running != p.o.attempt {
 			return
 		}
-		decode, actions := s.PromptComputed(now, &p.f.req)
+		decode := pick(now, s)
 		if ok = decode != policy.None; ok {
 			p.Decode = s.Fleet().Upstreams[decode].Spec
 		}
-		p.g.loop.apply(actions)
 	})
 	return ok && err == nil
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -67,6 +67,7 @@
 	FirstToken time.Duration // absolute target for the first token; 0: none
 	FirstBy    time.Duration // absolute; the caller leaves without a first token by then; 0: it waits until Deadline
 	Idempotent bool
+	Split      bool // the attempt in hand computes its prompt at another engine than it generates at, which is two sends
 	Resends    int  // attempts beyond the first that may be made where each may run, at most; 0: no bound of its own
 	Bounded    bool // Resends holds, also when the answer has begun
 
@@ -83,7 +84,7 @@
 	// Set at dispatch.
 	Cached         int           // pieces believed cached at Prefill, or fetched from Source
 	Backlog        float64       // prompt tokens that Prefill was believed to compute before this one
-	Counted        bool          // in Computing of Prefill
+	Counted        *Upstream     // in whose Computing the request is; nil: in none
 	PromptDone     bool          // the prompt is computed at Prefill, its first token is not there yet
 	RanAt          int           // attempts that may have run
 	ExpectedFirst  time.Duration // time to the first token, from dispatch
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -124,10 +124,14 @@
 	if r.Attempts >= w.MaxAttempts {
 		return false, 0
 	}
-	if n, _ := w.left(now, r); n < 1 {
+	sends := 1.0
+	if r.Split {
+		sends = 2
+	}
+	if n, _ := w.left(now, r); n < sends {
 		return false, 0
 	}
-	w.ledger(now, r).newest().resends++
+	w.ledger(now, r).newest().resends += sends
 	return true, 0
 }
 
--- a/scheduler/account.go
+++ b/scheduler/account.go
@@ -33,21 +33,21 @@
 		addRunning(d, r, 1)
 	}
 	d.OwnRemaining += remaining(r)
-	if len(r.Prefix) > 0 && !r.Counted && a.cached < len(r.Prefix) {
+	if len(r.Prefix) > 0 && r.Counted == nil && a.cached < len(r.Prefix) {
 		if p.Computing == nil {
 			p.Computing = map[uint64]int{}
 		}
 		p.Computing[r.Prefix[0]]++
-		r.Counted = true
+		r.Counted = p
 	}
 }
 
 // computed takes r's shared pieces off the list of those that are not computed yet.
 func computed(p *policy.Upstream, r *policy.Request) {
-	if !r.Counted {
+	if r.Counted != p { // counted at the other of two attempts, or nowhere
 		return
 	}
-	r.Counted = false
+	r.Counted = nil
 	if p.Computing[r.Prefix[0]]--; p.Computing[r.Prefix[0]] <= 0 {
 		delete(p.Computing, r.Prefix[0])
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -147,6 +147,7 @@
 	r.NominalFirst = time.Duration(float64(c.FirstToken) / max(s.opts.Health.Factor(c.Prefill), 1))
 	r.FirstAt, r.Overdue, r.Resumed = 0, 0, r.Generated
 	r.Attempts++
+	r.Split = c.Decode != c.Prefill
 	s.enter(r)
 	s.account(r, current(r))
 	s.insert(now, r, c.Prefill)
@@ -245,6 +246,22 @@
 	}
 }
 
+// HandOverRefused notes that the engine for generation has refused r's computed prompt, and returns another one, if the budget allows
+// and one accepts work. The prompt need not be computed again.
+func (s *Scheduler) HandOverRefused(now time.Duration, r *policy.Request) int {
+	if !s.inFlight(r) || r.FirstAt != 0 || !r.PromptDone || now >= r.GiveUpAt() {
+		return policy.None
+	}
+	s.opts.Health.Observe(now, policy.Observation{Upstream: r.Decode, Kind: policy.ObservedFirstToken, Stalled: true})
+	r.Avoid, r.AvoidDecode = policy.None, r.Decode
+	r.Split = false
+	if ok, _ := s.opts.Retry.Retry(now, r, policy.RefusedNotRun); !ok {
+		return policy.None
+	}
+	r.Attempts++
+	return s.repick(now, r)
+}
+
 // Progress notes n more output tokens of r.
 func (s *Scheduler) Progress(now time.Duration, r *policy.Request, n int) {
 	before := remaining(r)
@@ -296,6 +313,13 @@
 // failed retries r where that is safe and refuses it otherwise.
 func (s *Scheduler) failed(now time.Duration, r *policy.Request, o policy.Outcome) {
 	mayHaveRun := o != policy.RefusedNotRun && o != policy.FailedBeforeSend
+	if o == policy.RefusedNotRun { // it is full or changes; more of the same would be refused as well
+		at := r.Prefill
+		if r.PromptDone {
+			at = r.Decode
+		}
+		s.opts.Health.Observe(now, policy.Observation{Upstream: at, Kind: policy.ObservedFirstToken, Stalled: true})
+	}
 	if mayHaveRun {
 		s.ran[r.ID] = true
 		r.RanAt++
