--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -83,6 +83,7 @@
 	table       *routes.Table
 	rawTable    []byte
 	revision    uint64 // of the store, the highest in force here
+	listedAt    uint64 // revision of the last list of upstreams, or of the events taken since
 	entries     map[string]*record
 	left        map[string]time.Time // starts that were seen to leave
 	loaded      map[string]bool      // kinds that were listed in full
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,7 +21,8 @@
 	peerCheck = 200 * time.Millisecond
 	retryMin  = 50 * time.Millisecond  // between two tries of a store that does not answer
 	retryMax  = 150 * time.Millisecond // its return is noticed before the entries that lapsed meanwhile have to be judged
-	// listPatience bounds a list call. One call in patientEvery gets longPatience, for a store that answers slowly.
+	// listPatience bounds a list call, so that the store's return is known to a second. After patientEvery failures a list with
+	// longPatience runs beside the short ones, for a store that answers slowly.
 	listPatience = 650 * time.Millisecond
 	longPatience = 2500 * time.Millisecond
 	patientEvery = 3
@@ -49,10 +51,11 @@
 // follow lists a kind and watches it from there on, for ever.
 func (c *Catalog) follow(ctx context.Context, kind string, load func(context.Context) (uint64, error), take func(time.Time, store.Event) bool) error {
 	from, listed := uint64(0), false
+	var patient atomic.Bool // a list with longPatience is under way
 	for failures := 0; ctx.Err() == nil; {
 		var err error
 		if !listed {
-			from, err = loadWithin(ctx, load, failures)
+			from, err = loadWithin(ctx, load, listPatience)
 			listed = err == nil
 		} else {
 			from, err = c.watch(ctx, kind, from, take)
@@ -73,6 +76,12 @@
 		failures++
 		listed = false // a new list shows sooner than a watch whether the store is back
 		c.lost(kind, err)
+		if failures%patientEvery == 0 && !patient.Swap(true) {
+			go func() {
+				defer patient.Store(false)
+				_, _ = loadWithin(ctx, load, longPatience) // the loop reports failures
+			}()
+		}
 		wait := min(retryMin<<min(failures-1, 4), retryMax)
 		if c.opts.Clock.Sleep(ctx, wait/2+store.Backoff(0)%(wait/2)) != nil {
 			break
@@ -81,12 +90,8 @@
 	return nil
 }
 
-// loadWithin lists a kind within a time that suits the failures so far.
-func loadWithin(ctx context.Context, load func(context.Context) (uint64, error), failures int) (uint64, error) {
-	patience := listPatience
-	if failures%patientEvery == patientEvery-1 {
-		patience = longPatience
-	}
+// loadWithin lists a kind within a time.
+func loadWithin(ctx context.Context, load func(context.Context) (uint64, error), patience time.Duration) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	return load(ctx)
@@ -104,6 +109,9 @@
 	}
 	c.update(func(now time.Time) bool {
 		changed := false
+		if kind == c.opts.Kinds.Upstreams {
+			c.listedAt = max(c.listedAt, next)
+		}
 		for _, e := range events {
 			changed = take(now, e) || changed
 		}
@@ -151,11 +159,13 @@
 	if err != nil {
 		return 0, err
 	}
-	c.answered(c.opts.Kinds.Upstreams)
 	c.update(func(now time.Time) bool {
 		changed := false
 		listed := map[string]bool{}
-		c.loaded[c.opts.Kinds.Upstreams] = true
+		if at < c.listedAt {
+			return false // a slow answer that a newer one has overtaken
+		}
+		c.listedAt, c.loaded[c.opts.Kinds.Upstreams] = at, true
 		for _, o := range objects {
 			listed[o.Name] = true
 			changed = c.takeEntry(now, o.Name, o.Version, o.Value, "store") || changed
