--- a/loads/loads.go
+++ b/loads/loads.go
@@ -64,8 +64,8 @@
 	pending []pending
 	peers   map[string]*heard
 	last    map[string]time.Time // by host: the last message of a peer, also long ago
-	places  []placement // received and not yet applied
-	fresh   bool        // something came since the last look
+	places  []placement          // received and not yet applied
+	fresh   bool                 // something came since the last look
 
 	seq      uint64
 	lastOwn  []load
--- /dev/null
+++ b/loads/loads_test.go
@@ -0,0 +1,164 @@
+package loads
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"bergamotcroft.example/bergamot/kernel"
+	"bergamotcroft.example/bergamot/membership"
+	"bergamotcroft.example/bergamot/policy"
+	_ "bergamotcroft.example/bergamot/policy/admission"
+	_ "bergamotcroft.example/bergamot/policy/health"
+	_ "bergamotcroft.example/bergamot/policy/retry"
+	"bergamotcroft.example/bergamot/policy/routing"
+	"bergamotcroft.example/bergamot/scheduler"
+	"bergamotcroft.example/bergamot/topo"
+)
+
+// list is a fixed membership.
+type list struct {
+	membership.List
+	self    membership.Member
+	members []membership.Member
+}
+
+func (l *list) Self() membership.Member      { return l.self }
+func (l *list) Members() []membership.Member { return l.members }
+
+// wire records datagrams.
+type wire struct {
+	membership.Transport
+	to   []string
+	last []byte
+}
+
+func (w *wire) Send(address string, datagram []byte) { w.to, w.last = append(w.to, address), datagram }
+
+func member(name, dc string) membership.Member {
+	return membership.Member{Name: name, Address: "10.0.0." + name + ":7", DataCentre: dc}
+}
+
+func newExchange(t *testing.T, n int, dc func(int) string) (*Exchange, *wire, *scheduler.Scheduler) {
+	load := func(id string) any {
+		m, err := kernel.Load[any](id, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m
+	}
+	s := scheduler.New(scheduler.Options{
+		Router: load("routing.measured").(policy.Router), Admitter: load("admission.patience").(policy.Admitter),
+		Health: load("health.reachable").(policy.HealthTracker), Retry: load("retry.window").(policy.RetryPolicy), QueueCapacity: 10,
+		NewCache: routing.NewIndex,
+	})
+	s.SetUpstreams([]topo.Upstream{
+		{Name: "a", Kind: topo.KindEngine, Models: []string{"m"}, KVPieces: 100}, {Name: "b", Kind: topo.KindEngine, Models: []string{"m"}, KVPieces: 100},
+	})
+	l := &list{self: member("1", dc(1))}
+	for i := 1; i <= n; i++ {
+		l.members = append(l.members, member(string(rune('0'+i)), dc(i)))
+	}
+	w := &wire{}
+	x := New(Options{
+		List: l, Transport: w, Port: "9", Secret: "s", Boot: 1,
+		Do: func(_ context.Context, f func(time.Duration, *scheduler.Scheduler)) error { f(0, s); return nil },
+	})
+	return x, w, s
+}
+
+func sameDC(int) string { return "x" }
+
+// Guards against messages that are read differently from how they were written, and against a panic on strangers' bytes.
+func TestMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := message{boot: rapid.Uint64().Draw(t, "boot"), seq: rapid.Uint64().Draw(t, "seq")}
+		for range rapid.IntRange(0, 20).Draw(t, "loads") {
+			m.loads = append(m.loads, load{rapid.Uint32().Draw(t, "u"), rapid.Uint64Range(0, 999).Draw(t, "r"), rapid.Uint64Range(0, 9999).Draw(t, "p") * promptUnit})
+		}
+		for range rapid.IntRange(0, 5).Draw(t, "places") {
+			m.places = append(m.places, placement{7, []policy.Part{{ID: rapid.Uint64().Draw(t, "id"), Tokens: 130}}})
+		}
+		b := m.encode()
+		got, err := decode(b)
+		if err != nil || got.boot != m.boot || got.seq != m.seq || !same(got.loads, m.loads) || len(got.places) != len(m.places) {
+			t.Fatalf("%v: %+v is not %+v", err, got, m)
+		}
+		_, _ = decode(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")])
+		_, _ = decode(rapid.SliceOf(rapid.Byte()).Draw(t, "noise"))
+	})
+}
+
+// Guards against a load that counts twice, stays after its sender is gone, or goes back with a datagram that was overtaken.
+func TestOthersLoadsAreSummed(t *testing.T) {
+	is := is.New(t)
+	x, _, s := newExchange(t, 3, sameDC)
+	now := time.Unix(100, 0)
+	a := hash("a")
+	x.hear(now, "10.0.0.2:9", message{boot: 1, seq: 5, loads: []load{{a, 3, 6400}}})
+	x.hear(now, "10.0.0.3:9", message{boot: 1, seq: 2, loads: []load{{a, 2, 640}}})
+	x.hear(now, "10.0.0.2:9", message{boot: 1, seq: 4, loads: []load{{a, 9, 0}}})
+	x.round(t.Context(), now)
+	u := s.Fleet().Upstreams[0]
+	is.Equal(u.OtherRunning(), 5)
+	is.Equal(u.OtherPrefill(), 7040.0)
+	x.hear(now.Add(time.Millisecond), "10.0.0.2:9", message{boot: 2, seq: 1}) // started anew
+	x.round(t.Context(), now.Add(2*time.Millisecond))
+	is.Equal(u.OtherRunning(), 2)
+	x.round(t.Context(), now.Add(2*life))
+	is.Equal(u.OtherRunning(), 0)
+}
+
+// Guards against entry VMs that compute a shared part again because they do not know which engine holds it.
+func TestPlacementsReachPeers(t *testing.T) {
+	is := is.New(t)
+	x, w, _ := newExchange(t, 2, sameDC)
+	parts := []policy.Part{{ID: 77, Tokens: 5000}}
+	x.Placed(parts, "b")
+	x.round(t.Context(), time.Unix(100, 0))
+	is.Equal(w.to, []string{"10.0.0.2:9"})
+	payload, ok := membership.Open("s", w.last)
+	is.True(ok)
+	m, err := decode(payload)
+	is.NoErr(err)
+	peer, _, s := newExchange(t, 2, sameDC)
+	peer.hear(time.Unix(100, 0), "10.0.0.1:9", m)
+	peer.round(t.Context(), time.Unix(100, 0))
+	is.Equal(s.Fleet().Upstreams[1].Cache.Match(policy.PrefixPieces(parts)), 5)
+}
+
+// Guards against traffic between data centres that grows with the square of the fleet.
+func TestLargeFleetsTellTheirDataCentre(t *testing.T) {
+	is := is.New(t)
+	x, _, _ := newExchange(t, 40, func(i int) string { return string(rune('a' + i%4)) })
+	is.Equal(len(x.targets()), 9)
+	small, _, _ := newExchange(t, 9, func(i int) string { return string(rune('a' + i%4)) })
+	is.Equal(len(small.targets()), 8)
+}
+
+// Guards against a VM that is off and is still named to callers, and against one that never sent anything and is left out.
+func TestSilentPeers(t *testing.T) {
+	is := is.New(t)
+	x, _, _ := newExchange(t, 3, sameDC)
+	now := time.Unix(100, 0)
+	two, three := member("2", "x"), member("3", "x")
+	x.hear(now, "10.0.0.2:9", message{boot: 1, seq: 1})
+	is.True(!x.Silent(now.Add(keepAlive), &two))
+	is.True(x.Silent(now.Add(silence+time.Millisecond), &two))
+	is.True(!x.Silent(now.Add(time.Hour), &three))
+}
+
+// Guards against an idle VM that looks silent.
+func TestIdleVMsSayThatTheyLive(t *testing.T) {
+	is := is.New(t)
+	x, w, _ := newExchange(t, 2, sameDC)
+	now := time.Unix(100, 0)
+	for range 30 {
+		x.round(t.Context(), now)
+		now = now.Add(interval)
+	}
+	is.Equal(len(w.to), 3)
+}
