--- /dev/null
+++ b/configuration/adopt_test.go
@@ -0,0 +1,25 @@
+package configuration
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	emulator "bergamotcroft.example/bergamot/emulator/platform"
+	"bergamotcroft.example/bergamot/topo"
+)
+
+// Guards against a configuration in force that goes back: a peer or a read that lags hands in an older revision.
+func TestAnOlderRevisionIsNotAdopted(t *testing.T) {
+	is := is.New(t)
+	n := New(Options{Store: emulator.New(emulator.Options{}), Name: "a"})
+	at := func(revision uint64) *snapshot {
+		return &snapshot{entry: Entry{Revision: revision}, config: &topo.Configuration{Revision: revision}}
+	}
+	is.True(n.adopt(at(5)))
+	is.True(!n.adopt(at(4)))
+	is.True(!n.adopt(at(5)))
+	is.Equal(n.Current().Revision, uint64(5))
+	is.True(n.adopt(at(6)))
+	is.Equal(n.Current().Revision, uint64(6))
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -153,7 +153,7 @@
 		}
 	}
 	w.table = routes.New(1, []routes.Route{
-		route("once", routes.Once, false, "app", 1), route("read", routes.Idempotent, false, "app", 2),
+		route("once", routes.Once, false, "app", 1), route("wide", routes.Once, false, "app", 2), route("read", routes.Idempotent, false, "app", 2),
 		route("stream", routes.Stream, false, "llm", 1), route("resume", routes.Stream, true, "llm", 2),
 	}, map[string]*routes.Service{"app": {Name: "app"}, "llm": {Name: "llm", Engine: &routes.Engine{TokensPerEvent: 4}}}, routes.Limits{BodyBytes: 100})
 	pool := conns.New(conns.Options{})
@@ -219,10 +219,12 @@
 	drop := func(c net.Conn, _ *http.Request, _ int) { _ = c.Close() }
 	a, b := newServer(t, drop), newServer(t, drop)
 	w := start(t, []*server{a, b}, nil)
-	resp, _, err := w.call(t.Context(), "/once/x", "book")
-	w.NoErr(err)
-	w.Equal(resp.StatusCode, http.StatusBadGateway)
-	w.Equal(a.count()+b.count(), 1)
+	for i, path := range []string{"/once/x", "/wide/x"} { // also where a route allows two servers
+		resp, _, err := w.call(t.Context(), path, "book")
+		w.NoErr(err)
+		w.Equal(resp.StatusCode, http.StatusBadGateway)
+		w.Equal(a.count()+b.count(), i+1)
+	}
 }
 
 // Guards against a request that is given up although its server stated that it did not run it and another is free.
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -183,9 +183,6 @@
 	}
 	list = c.effective(now, list)
 	for _, e := range Plan(list, c.opts.PromptShare, load > 0) {
-		if c.pendingAt(now, e.Name) {
-			continue
-		}
 		if !c.order(ctx, e) {
 			return
 		}
@@ -209,11 +206,6 @@
 	return out
 }
 
-func (c *Controller) pendingAt(now time.Time, name string) bool {
-	p, ok := c.open[name]
-	return ok && now.Before(p.until)
-}
-
 // Plan returns the engines whose role should change, with the role that they should take. A busy set changes one engine at a time,
 // the one with the least work.
 func Plan(list []Engine, share float64, busy bool) []Engine {
