--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -17,6 +17,7 @@
 
 	"bergamotcroft.example/bergamot/admin"
 	"bergamotcroft.example/bergamot/admin/adminv1"
+	"bergamotcroft.example/bergamot/explain"
 	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/topo"
 )
@@ -53,12 +54,14 @@
 	file, name, with, kind        string
 	limit                         int
 	wait                          bool
+	logs                          []string
 }
 
 // command is one subcommand and what it runs.
 type command struct {
-	sub *flaggy.Subcommand
-	run func(*session, context.Context) error
+	sub   *flaggy.Subcommand
+	run   func(*session, context.Context) error
+	local bool // needs no server
 }
 
 // Run executes a command line without the program's name and returns the exit status.
@@ -72,7 +75,10 @@
 		if !c.sub.Used {
 			continue
 		}
-		s, err := newSession(f, st)
+		s, err := &session{Streams: st, flags: f}, error(nil)
+		if !c.local {
+			s, err = newSession(f, st)
+		}
 		if err == nil {
 			err = c.run(s, ctx)
 		}
@@ -117,7 +123,7 @@
 		sub.Description = description
 		parent.AttachSubcommand(sub, 1)
 		if run != nil {
-			commands = append(commands, command{sub, run})
+			commands = append(commands, command{sub: sub, run: run})
 		}
 		return sub
 	}
@@ -151,7 +157,29 @@
 		String(&f.file, "f", "file", "File with the configuration (JSON with comments), - for standard input")
 	add(config, "history", "List accepted revisions.", (*session).history).
 		Int(&f.limit, "n", "limit", "Number of revisions; all that are kept when left out")
-	return p, commands
+	story := flaggy.NewSubcommand("explain")
+	story.Description = "Tell the story of one request from the logs of entry VMs."
+	story.AddPositionalValue(&f.name, "ID", 1, true, "Identifier of the request")
+	story.StringSlice(&f.logs, "l", "log", "Log file; may be given several times; standard input when left out")
+	p.AttachSubcommand(story, 1)
+	return p, append(commands, command{sub: story, run: (*session).explain, local: true})
+}
+
+// explain prints what the logs tell of one request.
+func (s *session) explain(context.Context) error {
+	if len(s.flags.logs) == 0 {
+		return explain.Request(s.Out, s.flags.name, s.In)
+	}
+	var readers []io.Reader
+	for _, name := range s.flags.logs {
+		f, err := os.Open(name)
+		if err != nil {
+			return result.New(result.MalformedRequest, "log file: %v", err)
+		}
+		defer f.Close()
+		readers = append(readers, f)
+	}
+	return explain.Request(s.Out, s.flags.name, readers...)
 }
 
 func (s *session) plan(ctx context.Context) error {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -173,6 +173,8 @@
 			go x.free(p.Prefill, handle)
 			return &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.NoUpstream, Cause: errNoDecoder}
 		}
+		x.f.opts.Log.Info("hand over", zap.String("request", x.call.ID), zap.String("prompt_at", p.Prefill.Name),
+			zap.String("upstream", p.Decode.Name), zap.Duration("waited", time.Since(x.arrival)))
 	}
 	resp, a, err := x.generate(ctx, p, handle)
 	for handle != "" && refused(err) && p.HandOverRefused(ctx) {
