Let a few VMs of a large fleet watch the store for the others

Ruled out: longer waits of watches; a silent one has to be noticed in time. Change: above 16 VMs the two strongest of each data centre watch the store; the others hold a call at one of them and get what has changed. A follower whose watcher is off, or has lost the store, watches the store itself.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -60,8 +60,10 @@
 	ReturnGrace time.Duration
 	// Peers fetches states from peers; nil: none.
 	Peers Peers
-	Log   *zap.Logger
-	Clock store.Clock
+	// Watcher returns the address of the entry VM that watches the store for this one, or "" when this one watches it itself. nil: always "".
+	Watcher func() string
+	Log     *zap.Logger
+	Clock   store.Clock
 	// Adopted is called with each new revision of the store that is in force here. It must not block.
 	Adopted func(revision uint64)
 }
@@ -91,6 +93,9 @@
 	unreachable map[string]time.Time // by kind: since when the store has not answered
 	regained    map[string]time.Time // by kind: when the store answered again
 	confirmed   time.Time            // last answer of the store, or of a peer in its place
+	tableAt     uint64               // revision at which table was taken
+	grown       chan struct{}        // closed when revision grows
+	following   bool                 // a watcher's state stands in for the own watches
 }
 
 // record is an entry with its stored form and what is pending for it.
@@ -124,7 +129,7 @@
 	}
 	return &Catalog{
 		opts: o, entries: map[string]*record{}, left: map[string]time.Time{}, unreachable: map[string]time.Time{},
-		regained: map[string]time.Time{}, loaded: map[string]bool{},
+		regained: map[string]time.Time{}, loaded: map[string]bool{}, grown: make(chan struct{}),
 	}
 }
 
@@ -174,7 +179,12 @@
 	defer c.mu.Unlock()
 	before := c.revision
 	changed := f(c.opts.Clock.Now())
+	if c.tableAt == 0 {
+		c.tableAt = c.revision
+	}
 	if c.revision > before {
+		close(c.grown)
+		c.grown = make(chan struct{})
 		c.opts.Adopted(c.revision)
 	}
 	if !changed {
@@ -202,7 +212,7 @@
 	if c.table != nil {
 		old = c.table.Version
 	}
-	c.table, c.rawTable = t, slices.Clone(value)
+	c.table, c.rawTable, c.tableAt = t, slices.Clone(value), 0
 	tableVersion.Set(float64(t.Version))
 	c.opts.Log.Info("configuration in force", zap.Uint64("version", t.Version), zap.Uint64("before", old),
 		zap.Int("routes", len(t.Routes)), zap.Int("services", len(t.Services)), zap.String("from", from))
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -371,6 +371,6 @@
 func TestAnIncompleteStateIsNotExported(t *testing.T) {
 	is := is.New(t)
 	c := New(Options{Store: newFake(), Decoder: plain{}, Kinds: kinds})
-	_, _, err := c.Export()
+	_, _, err := c.Export(t.Context(), 0)
 	is.True(errors.Is(err, errIncomplete))
 }
--- /dev/null
+++ b/catalog/exchange_test.go
@@ -0,0 +1,101 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// watcherOf is a peer that watches the store and can be off.
+type watcherOf struct {
+	mu    sync.Mutex
+	c     *Catalog
+	off   bool
+	bytes int
+}
+
+func (w *watcherOf) Newer(uint64) string { return "" }
+
+func (w *watcherOf) Fetch(ctx context.Context, _ string, after uint64) ([]byte, error) {
+	w.mu.Lock()
+	off := w.off
+	w.mu.Unlock()
+	if off {
+		return nil, errors.New("off")
+	}
+	_, b, err := w.c.Export(ctx, after)
+	w.mu.Lock()
+	w.bytes += len(b)
+	w.mu.Unlock()
+	return b, err
+}
+
+func (w *watcherOf) set(off bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.off = off
+}
+
+// Guards against calls to the store that grow with the fleet, a follower that learns of changes late, and one that goes on with an old
+// state after its watcher is off or has lost the store.
+func TestFollowersHearFromWatchers(t *testing.T) {
+	f := newFake()
+	f.put("config", "main", `{"v":1}`)
+	f.put("servers", "a", `{"s":"x"}`)
+	f.put("servers", "b", `{"s":"x"}`)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f.changed = make(chan struct{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		run := func(c *Catalog) {
+			all.Go(func() { is.NoErr(c.Run(ctx)) })
+		}
+		leader := New(Options{Store: f, Decoder: plain{}, Kinds: kinds})
+		run(leader)
+		time.Sleep(time.Second)
+		w := &watcherOf{c: leader}
+		follower := New(Options{Store: f, Decoder: plain{}, Kinds: kinds, Peers: w, Watcher: func() string { return "w" }})
+		run(follower)
+		time.Sleep(3 * time.Second)
+		is.Equal(version(follower), uint64(1))
+		is.Equal(names(follower), "ab")
+
+		f.mu.Lock()
+		before := f.lists
+		f.mu.Unlock()
+		w.bytes = 0
+		f.put("servers", "a", `{"s":"x","l":true}`)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(names(follower), "a-b")
+		f.remove("servers", "b")
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(names(follower), "a-")
+		is.True(w.bytes < 400) // only what has changed
+		f.put("config", "main", `{"v":2}`)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(version(follower), uint64(2))
+		f.mu.Lock()
+		is.Equal(f.lists, before)
+		f.mu.Unlock()
+
+		w.set(true)
+		time.Sleep(3 * time.Second)
+		f.put("config", "main", `{"v":3}`)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(version(follower), uint64(3)) // by itself
+		w.set(false)
+		time.Sleep(time.Second)
+		f.set(func() { f.down = true })
+		time.Sleep(6 * time.Second)
+		_, _, err := leader.Export(ctx, 1)
+		is.True(errors.Is(err, errStoreLost))
+		cancel()
+		all.Wait()
+	})
+}
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -33,8 +31,9 @@
 type Peers interface {
 	// Newer returns the address of a peer that has a higher revision in force, or "".
 	Newer(than uint64) string
-	// Fetch returns a peer's state as Export encodes it.
-	Fetch(ctx context.Context, address string, revision uint64) ([]byte, error)
+	// Fetch returns a peer's state as Export encodes it, what has changed after a revision. With 0 it returns all at once; otherwise the
+	// peer waits for a change, for a time.
+	Fetch(ctx context.Context, address string, after uint64) ([]byte, error)
 }
 
 // Run follows the store until ctx ends.
@@ -45,6 +44,9 @@
 	})
 	g.Go(func() error { return c.follow(ctx, c.opts.Kinds.Upstreams, c.loadUpstreams, c.upstreamEvent) })
 	g.Go(func() error { return c.maintain(ctx) })
+	if c.opts.Watcher != nil && c.opts.Peers != nil {
+		g.Go(func() error { return c.followWatchers(ctx) })
+	}
 	return g.Wait()
 }
 
@@ -53,6 +55,11 @@
 	from, listed := uint64(0), false
 	var patient atomic.Bool // a list with longPatience is under way
 	for failures := 0; ctx.Err() == nil; {
+		if c.isFollowing() {
+			listed = false
+			_ = c.opts.Clock.Sleep(ctx, peerCheck) // an end of ctx ends the loop
+			continue
+		}
 		var err error
 		if !listed {
 			from, err = loadWithin(ctx, load, listPatience)
@@ -224,7 +231,7 @@
 // askPeers fetches a newer state from a peer while the store can't be reached from here.
 func (c *Catalog) askPeers(ctx context.Context) {
 	c.mu.Lock()
-	cut, revision := len(c.unreachable) > 0 || c.table == nil, c.revision
+	cut, revision := !c.following && (len(c.unreachable) > 0 || c.table == nil), c.revision
 	c.mu.Unlock()
 	if !cut || c.opts.Peers == nil {
 		return
@@ -233,7 +240,9 @@
 	if address == "" {
 		return
 	}
-	value, err := c.opts.Peers.Fetch(ctx, address, revision+1)
+	ctx, cancel := context.WithTimeout(ctx, listPatience)
+	defer cancel()
+	value, err := c.opts.Peers.Fetch(ctx, address, 0)
 	if err == nil {
 		err = c.Import(value, address)
 	}
@@ -241,74 +250,3 @@
 		c.opts.Log.Warn("state not fetched from a peer", zap.String("peer", address), zap.Uint64("revision", revision), zap.String("error", short(err)))
 	}
 }
-
-// exported is a state as peers exchange it: the stored forms, so that each reads them as from the store.
-type exported struct {
-	Revision      uint64          `json:"revision"`
-	Configuration json.RawMessage `json:"configuration,omitempty"`
-	Upstreams     []exportedEntry `json:"upstreams"`
-}
-
-type exportedEntry struct {
-	Name    string          `json:"name"`
-	Version uint64          `json:"version"`
-	Value   json.RawMessage `json:"value"`
-	Leaving bool            `json:"leaving,omitempty"`
-}
-
-// Export returns the revision and the state in force, for a peer.
-func (c *Catalog) Export() (uint64, []byte, error) {
-	c.mu.Lock()
-	if !c.loaded[c.opts.Kinds.Configuration] || !c.loaded[c.opts.Kinds.Upstreams] {
-		c.mu.Unlock()
-		return 0, nil, trace.Wrap(errIncomplete)
-	}
-	x := exported{Revision: c.revision, Configuration: c.rawTable}
-	for name, r := range c.entries {
-		x.Upstreams = append(x.Upstreams, exportedEntry{name, r.version, r.value, r.entry.Leaving})
-	}
-	c.mu.Unlock()
-	b, err := json.Marshal(x)
-	return x.Revision, b, trace.Wrap(err)
-}
-
-var errIncomplete = errors.New("the state is not complete yet")
-
-// Import takes a peer's state. Nothing goes back: an older configuration, an older entry, an entry that has left here and one
-// that was removed here change nothing. Only a peer that is ahead can remove entries.
-func (c *Catalog) Import(value []byte, from string) error {
-	var x exported
-	if err := json.Unmarshal(value, &x); err != nil {
-		return trace.Wrap(err)
-	}
-	c.update(func(now time.Time) bool {
-		changed := false
-		if len(x.Configuration) > 0 {
-			changed = c.takeConfiguration(x.Configuration, from)
-		}
-		listed := map[string]bool{}
-		for _, e := range x.Upstreams {
-			listed[e.Name] = true
-			if c.entries[e.Name] == nil && e.Version <= c.revision {
-				continue
-			}
-			changed = c.takeEntry(now, e.Name, e.Version, e.Value, from) || changed
-			if r := c.entries[e.Name]; r != nil && e.Leaving && !r.entry.Leaving {
-				r.entry.Leaving = true
-				changed = true
-			}
-		}
-		for name := range c.entries {
-			if !listed[name] && x.Revision > c.revision {
-				changed = c.drop(now, name, "a peer that is ahead lacks it") || changed
-			}
-		}
-		c.revision = max(c.revision, x.Revision)
-		for _, k := range []string{c.opts.Kinds.Configuration, c.opts.Kinds.Upstreams} {
-			c.loaded[k] = true
-		}
-		c.confirmed = now
-		return changed
-	})
-	return nil
-}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -150,7 +150,7 @@
 	e.list, err = membership.New(membership.Options{
 		Self: membership.Member{
 			Name: e.set.VM, Address: net.JoinHostPort(e.set.IP, e.port(portMembers)), PeerAddress: address,
-			CallerAddress: e.set.Listen.Callers, DataCentre: e.set.DataCentre, Cores: 1,
+			CallerAddress: e.set.Listen.Callers, DataCentre: e.set.DataCentre, Cores: max(int(e.set.Machine.CPUs*coreUnit), 1),
 		},
 		Transport: udp, Secret: e.secret(), Exchanger: e.peers, Seeds: without(e.set.Seeds, address), VMs: e.objects.VMs, PeerPort: port,
 		ListInterval: listInterval, Log: e.log,
@@ -159,14 +159,15 @@
 		return trace.Wrap(err)
 	}
 	handlers.ExchangeTable = e.list.ExchangeTable
-	handlers.GetConfiguration = func(context.Context, uint64) (uint64, []byte, error) { return e.catalog.Export() }
+	handlers.GetConfiguration = func(ctx context.Context, after uint64) (uint64, []byte, error) { return e.catalog.Export(ctx, after) }
 	e.addContext("peers", service.Run)
 	return nil
 }
 
 const (
-	peerTimeout  = 700 * time.Millisecond // a third of the bound on a configuration
-	listInterval = 20 * time.Second       // reads of the entry VMs' records; heartbeats tell of changes meanwhile
+	peerTimeout  = 3 * time.Second  // a follower's call waits for a change; other calls have bounds of their own
+	listInterval = 60 * time.Second // reads of the entry VMs' records; heartbeats tell of changes meanwhile
+	coreUnit     = 10               // VMs have parts of a core; members tell them in tenths
 )
 
 func without(list []string, address string) []string {
@@ -182,7 +183,7 @@
 // buildCatalog follows the configuration and the upstreams.
 func (e *Edge) buildCatalog() {
 	e.catalog = catalog.New(catalog.Options{
-		Store: e.objects, Decoder: platform.Decoder{}, Kinds: platform.Kinds, Peers: peerStates{e}, Log: e.log,
+		Store: e.objects, Decoder: platform.Decoder{}, Kinds: platform.Kinds, Peers: peerStates{e}, Log: e.log, Watcher: e.watcher,
 		Adopted: e.list.SetRevision,
 	})
 	e.addContext("catalog", e.catalog.Run)
