Let followers count the watcher's own changes

Cause: followers asked for what came after a revision of the store. Ruled out: the watchers; both had the version 2.3 s after it was acknowledged. Change: a state has a generation of its own, with a mark of the process. A VM that is cut off from the store follows a peer the same way.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -11,6 +11,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -93,8 +94,10 @@
 	unreachable map[string]time.Time // by kind: since when the store has not answered
 	regained    map[string]time.Time // by kind: when the store answered again
 	confirmed   time.Time            // last answer of the store, or of a peer in its place
-	tableAt     uint64               // revision at which table was taken
-	grown       chan struct{}        // closed when revision grows
+	boot        uint64               // tells the generations of two processes apart
+	generation  uint64               // number of the last change of the state here, for followers
+	tableAt     uint64               // generation of table
+	grown       chan struct{}        // closed when generation grows
 	following   bool                 // a watcher's state stands in for the own watches
 }
 
@@ -104,6 +107,7 @@
 	value   []byte
 	version uint64
 	missing time.Time // since when the store lacks it; zero: it has it
+	at      uint64    // generation of the last change
 }
 
 var (
@@ -130,6 +134,7 @@
 	return &Catalog{
 		opts: o, entries: map[string]*record{}, left: map[string]time.Time{}, unreachable: map[string]time.Time{},
 		regained: map[string]time.Time{}, loaded: map[string]bool{}, grown: make(chan struct{}),
+		boot: rand.Uint64(),
 	}
 }
 
@@ -178,18 +183,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	before := c.revision
+	c.generation++ // of what f changes
 	changed := f(c.opts.Clock.Now())
-	if c.tableAt == 0 {
-		c.tableAt = c.revision
-	}
 	if c.revision > before {
-		close(c.grown)
-		c.grown = make(chan struct{})
 		c.opts.Adopted(c.revision)
 	}
 	if !changed {
+		c.generation--
 		return
 	}
+	close(c.grown)
+	c.grown = make(chan struct{})
 	upstreamsKnown.Set(float64(len(c.entries)))
 	s := c.state()
 	for _, f := range c.observers {
@@ -212,7 +216,7 @@
 	if c.table != nil {
 		old = c.table.Version
 	}
-	c.table, c.rawTable, c.tableAt = t, slices.Clone(value), 0
+	c.table, c.rawTable, c.tableAt = t, slices.Clone(value), c.generation
 	tableVersion.Set(float64(t.Version))
 	c.opts.Log.Info("configuration in force", zap.Uint64("version", t.Version), zap.Uint64("before", old),
 		zap.Int("routes", len(t.Routes)), zap.Int("services", len(t.Services)), zap.String("from", from))
@@ -241,7 +245,7 @@
 			return false
 		}
 	}
-	c.entries[name] = &record{entry: e, version: version, value: slices.Clone(value)}
+	c.entries[name] = &record{entry: e, version: version, value: slices.Clone(value), at: c.generation}
 	if e.Leaving {
 		c.left[start(e)] = now
 	}
@@ -331,7 +335,7 @@
 		if !ok || r.entry.Leaving {
 			return false
 		}
-		r.entry.Leaving = true
+		r.entry.Leaving, r.at = true, c.generation
 		c.left[start(r.entry)] = now
 		c.opts.Log.Info("upstream", zap.String("upstream", name), zap.String("service", r.entry.Service), zap.Bool("leaving", true),
 			zap.String("from", from))
--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -17,11 +17,15 @@
 	exportWait = 2 * time.Second
 	// followPatience bounds a follower's call, so that a watcher that falls silent is noticed as soon as a silent watch.
 	followPatience = exportWait + 600*time.Millisecond
+	// followPause lies between two calls, so that changes in quick succession share one.
+	followPause = 50 * time.Millisecond
 )
 
 // exported is a state as peers exchange it: the stored forms, so that each reads them as from the store.
 type exported struct {
-	Revision      uint64          `json:"revision"`
+	Revision      uint64          `json:"revision"` // of the store
+	Boot          uint64          `json:"boot"`
+	Generation    uint64          `json:"generation"`              // of the sender's state
 	Configuration json.RawMessage `json:"configuration,omitempty"` // left out when unchanged
 	Upstreams     []exportedEntry `json:"upstreams"`               // all of them
 }
@@ -36,9 +40,10 @@
 var (
 	errIncomplete = errors.New("the state is not complete yet")
 	errStoreLost  = errors.New("this entry VM does not reach the store")
+	errRestarted  = errors.New("the peer has started anew")
 )
 
-// Export returns the state in force, what has changed after a revision. With after above 0 it waits for a change, for a time.
+// Export returns the state in force, what has changed after a generation. With after above 0 it waits for a change, for a time.
 func (c *Catalog) Export(ctx context.Context, after uint64) (uint64, []byte, error) {
 	if after > 0 {
 		c.awaitGrowth(ctx, after)
@@ -51,13 +56,13 @@
 	if after > 0 && len(c.unreachable) > 0 {
 		return 0, nil, trace.Wrap(errStoreLost) // a follower has to look for another watcher
 	}
-	x := exported{Revision: c.revision}
-	if c.tableAt == 0 || c.tableAt > after {
+	x := exported{Revision: c.revision, Boot: c.boot, Generation: c.generation}
+	if c.tableAt > after {
 		x.Configuration = c.rawTable
 	}
 	for name, r := range c.entries {
 		e := exportedEntry{Name: name, Version: r.version, Leaving: r.entry.Leaving}
-		if r.version > after {
+		if r.at > after {
 			e.Value = r.value
 		}
 		x.Upstreams = append(x.Upstreams, e)
@@ -66,13 +71,13 @@
 	return x.Revision, b, trace.Wrap(err)
 }
 
-// awaitGrowth waits until the revision is above after, for exportWait at most.
+// awaitGrowth waits until the generation is above after, for exportWait at most.
 func (c *Catalog) awaitGrowth(ctx context.Context, after uint64) {
 	end := time.NewTimer(exportWait)
 	defer end.Stop()
 	for {
 		c.mu.Lock()
-		grown, done := c.grown, c.revision > after
+		grown, done := c.grown, c.generation > after
 		c.mu.Unlock()
 		if done {
 			return
@@ -94,6 +99,12 @@
 	if err := json.Unmarshal(value, &x); err != nil {
 		return trace.Wrap(err)
 	}
+	c.take(&x, from)
+	return nil
+}
+
+// take puts a peer's state in force.
+func (c *Catalog) take(x *exported, from string) {
 	c.update(func(now time.Time) bool {
 		changed := false
 		if len(x.Configuration) > 0 {
@@ -116,7 +127,6 @@
 		c.confirmed = now
 		return changed
 	})
-	return nil
 }
 
 func (c *Catalog) importEntry(now time.Time, e exportedEntry, from string, revision uint64) bool {
@@ -125,7 +135,7 @@
 		changed = c.takeEntry(now, e.Name, e.Version, e.Value, from)
 	}
 	if r := c.entries[e.Name]; r != nil && e.Leaving && !r.entry.Leaving {
-		r.entry.Leaving = true
+		r.entry.Leaving, r.at = true, c.generation
 		c.left[start(r.entry)] = now
 		changed = true
 	}
@@ -138,40 +148,75 @@
 	return c.following
 }
 
-// followWatchers follows the watcher that is named, and lets this VM watch the store itself while that fails.
-func (c *Catalog) followWatchers(ctx context.Context) error {
-	last := ""
+// isCut says that the store does not answer this VM.
+func (c *Catalog) isCut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.unreachable) > 0 || c.table == nil
+}
+
+// position is how far this VM has followed a peer.
+type position struct {
+	address    string
+	boot       uint64 // of the peer's process
+	generation uint64
+}
+
+// followPeers follows the watcher that is named, and lets this VM watch the store itself while that fails. A VM that watches and is cut
+// off from the store follows any peer meanwhile, and goes on trying the store.
+func (c *Catalog) followPeers(ctx context.Context) error {
+	var at position
+	_ = c.opts.Clock.Sleep(ctx, peerCheck) // the store answers sooner, as a rule; an end of ctx ends the loop
 	for ctx.Err() == nil {
-		address := c.opts.Watcher()
+		address, standIn := "", false
+		if c.opts.Watcher != nil {
+			address = c.opts.Watcher()
+		}
 		if address == "" {
 			c.setFollowing(false, "", nil)
+			if standIn = c.isCut(); standIn {
+				address = c.opts.Peers.Peer()
+			}
+		}
+		if address == "" {
 			_ = c.opts.Clock.Sleep(ctx, peerCheck) // an end of ctx ends the loop
 			continue
 		}
-		after := uint64(0)
-		if address == last {
-			c.mu.Lock()
-			after = c.revision
-			c.mu.Unlock()
+		if address != at.address {
+			at = position{address: address}
 		}
-		err := c.fetchFrom(ctx, address, after)
-		c.setFollowing(err == nil, address, err)
-		if last = address; err != nil {
-			last = ""
-			_ = c.opts.Clock.Sleep(ctx, peerCheck)
+		err := c.fetchFrom(ctx, &at)
+		if !standIn {
+			c.setFollowing(err == nil, address, err)
 		}
+		pause := followPause
+		if err != nil {
+			pause = peerRetry
+		}
+		_ = c.opts.Clock.Sleep(ctx, pause)
 	}
 	return nil
 }
 
-func (c *Catalog) fetchFrom(ctx context.Context, address string, after uint64) error {
+// fetchFrom fetches what has changed at a peer and moves the position on.
+func (c *Catalog) fetchFrom(ctx context.Context, at *position) error {
 	ctx, cancel := context.WithTimeout(ctx, followPatience)
 	defer cancel()
-	value, err := c.opts.Peers.Fetch(ctx, address, after)
+	value, err := c.opts.Peers.Fetch(ctx, at.address, at.generation)
 	if err != nil {
 		return err
 	}
-	return c.Import(value, address)
+	var x exported
+	if err := json.Unmarshal(value, &x); err != nil {
+		return trace.Wrap(err)
+	}
+	if at.generation > 0 && x.Boot != at.boot { // what was left out was counted from another process's start
+		*at = position{address: at.address}
+		return trace.Wrap(errRestarted)
+	}
+	c.take(&x, at.address)
+	at.boot, at.generation = x.Boot, x.Generation
+	return nil
 }
 
 // setFollowing notes whether a watcher's state stands in for the own watches, and logs a change.
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -15,8 +15,9 @@
 const (
 	// settleAfter is waited after an event before the next watch, so that changes in quick succession cost one call.
 	settleAfter = 100 * time.Millisecond
-	// peerCheck is how often a VM without the store looks for a newer state at its peers.
+	// peerCheck is how often a VM looks whether it has to follow a peer; peerRetry lies between two calls that fail.
 	peerCheck = 200 * time.Millisecond
+	peerRetry = 400 * time.Millisecond
 	retryMin  = 50 * time.Millisecond  // between two tries of a store that does not answer
 	retryMax  = 150 * time.Millisecond // its return is noticed before the entries that lapsed meanwhile have to be judged
 	// listPatience bounds a list call, so that the store's return is known to a second. After patientEvery failures a list with
@@ -29,10 +30,10 @@
 
 // Peers fetches the state of another entry VM.
 type Peers interface {
-	// Newer returns the address of a peer that has a higher revision in force, or "".
-	Newer(than uint64) string
-	// Fetch returns a peer's state as Export encodes it, what has changed after a revision. With 0 it returns all at once; otherwise the
-	// peer waits for a change, for a time.
+	// Peer returns the address of a peer that may reach the store, or "". Calls in a row name different ones.
+	Peer() string
+	// Fetch returns a peer's state as Export encodes it, what has changed after a generation of that peer. With 0 it returns all at once;
+	// otherwise the peer waits for a change, for a time.
 	Fetch(ctx context.Context, address string, after uint64) ([]byte, error)
 }
 
@@ -44,8 +45,8 @@
 	})
 	g.Go(func() error { return c.follow(ctx, c.opts.Kinds.Upstreams, c.loadUpstreams, c.upstreamEvent) })
 	g.Go(func() error { return c.maintain(ctx) })
-	if c.opts.Watcher != nil && c.opts.Peers != nil {
-		g.Go(func() error { return c.followWatchers(ctx) })
+	if c.opts.Peers != nil {
+		g.Go(func() error { return c.followPeers(ctx) })
 	}
 	return g.Wait()
 }
@@ -213,7 +214,7 @@
 	c.opts.Log.Warn("store lost", zap.String("kind", kind), zap.Uint64("revision", c.revision), zap.String("error", short(err)))
 }
 
-// maintain drops entries whose grace has passed and asks peers while the store does not answer.
+// maintain drops entries whose grace has passed.
 func (c *Catalog) maintain(ctx context.Context) error {
 	expire := time.NewTicker(expireEvery)
 	defer expire.Stop()
@@ -223,30 +224,6 @@
 			return nil
 		case <-expire.C:
 			c.update(c.expire)
-			c.askPeers(ctx)
 		}
 	}
 }
-
-// askPeers fetches a newer state from a peer while the store can't be reached from here.
-func (c *Catalog) askPeers(ctx context.Context) {
-	c.mu.Lock()
-	cut, revision := !c.following && (len(c.unreachable) > 0 || c.table == nil), c.revision
-	c.mu.Unlock()
-	if !cut || c.opts.Peers == nil {
-		return
-	}
-	address := c.opts.Peers.Newer(revision)
-	if address == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, listPatience)
-	defer cancel()
-	value, err := c.opts.Peers.Fetch(ctx, address, 0)
-	if err == nil {
-		err = c.Import(value, address)
-	}
-	if err != nil {
-		c.opts.Log.Warn("state not fetched from a peer", zap.String("peer", address), zap.Uint64("revision", revision), zap.String("error", short(err)))
-	}
-}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime"
@@ -192,18 +193,30 @@
 // peerStates implements catalog.Peers.
 type peerStates struct{ e *Edge }
 
-func (p peerStates) Newer(than uint64) string {
-	best, address := than, ""
+// Peer names a random peer, one of the own data centre where there is one.
+func (p peerStates) Peer() string {
+	var near, far []string
 	for _, m := range p.e.list.Members() {
-		if m.Name != p.e.set.VM && m.State == membership.Alive && m.ConfigRevision > best {
-			best, address = m.ConfigRevision, m.PeerAddress
+		switch {
+		case m.Name == p.e.set.VM || m.State != membership.Alive || m.Suspect:
+		case m.DataCentre == p.e.set.DataCentre:
+			near = append(near, m.PeerAddress)
+		default:
+			far = append(far, m.PeerAddress)
 		}
 	}
-	return address
+	// Peers of one data centre may be cut off together.
+	if len(near) > 0 && (len(far) == 0 || rand.IntN(2) == 0) {
+		return near[rand.IntN(len(near))]
+	}
+	if len(far) > 0 {
+		return far[rand.IntN(len(far))]
+	}
+	return ""
 }
 
-func (p peerStates) Fetch(ctx context.Context, address string, revision uint64) ([]byte, error) {
-	_, value, err := p.e.peers.GetConfiguration(ctx, address, revision)
+func (p peerStates) Fetch(ctx context.Context, address string, after uint64) ([]byte, error) {
+	_, value, err := p.e.peers.GetConfiguration(ctx, address, after)
 	return value, err
 }
 
