Notice a caller that can't be written to; tidy what staticcheck found

Cause: the error of writing an event stood in an inner scope and was lost, so that a stream went on until the request's context ended. A test read a counter without its lock.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -326,6 +326,12 @@
 	asked int
 }
 
+func (p *peerState) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.asked
+}
+
 func (p *peerState) Peer() string { return "peer:1" }
 
 func (p *peerState) Fetch(context.Context, string, uint64) ([]byte, error) {
@@ -349,12 +355,12 @@
 			`{"name":"old","version":2,"value":{"s":"x"}},{"name":"n","version":85,"value":{"s":"x"}}]}`)
 		p.mu.Unlock()
 		time.Sleep(time.Second)
-		is.Equal(p.asked, 0)
+		is.Equal(p.count(), 0)
 		f.set(func() { f.down = true })
 		time.Sleep(4 * time.Second)
 		is.Equal(version(c), uint64(5))
 		is.Equal(names(c), "b-n") // a is gone there, and old was removed before this VM's own last look
-		is.True(p.asked > 0)
+		is.True(p.count() > 0)
 	})
 }
 
--- a/claims/guard_test.go
+++ b/claims/guard_test.go
@@ -275,7 +275,7 @@
 		now = now.Add(time.Hour)
 		is.True(other.process(t.Context(), []op{{kind: opBegin, key: keyHash("c", now.String()), mark: 5}})[0].granted)
 	}
-	is.True(again(other, 5).granted) // after the retention the key is new
+	is.True(again(other, 5).granted)   // after the retention the key is new
 	is.True(len(objects.objects) < 40) // and the old objects are gone
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -172,8 +172,6 @@
 	// stopMargin is left of the platform's grace for the process to end.
 	stopMargin = 700 * time.Millisecond
 	drainCheck = 50 * time.Millisecond
-	// politeFor is the time in which idle connections are told to close by the answer to their next request.
-	politeFor = time.Second
 )
 
 // drain leaves the directory's answers, serves callers that still hold the address and waits for what is running.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -313,7 +313,7 @@
 			continue // the upstream repeats the event that the stream goes on after
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(writePatience)) // unsupported: the server's own
-		if _, err := x.w.Write(ev.raw); err == nil {
+		if _, err = x.w.Write(ev.raw); err == nil {
 			err = control.Flush()
 		}
 		if err != nil {
--- a/membership/list.go
+++ b/membership/list.go
@@ -44,7 +44,7 @@
 	DataCentre     string
 	Cores          int
 	State          State
-	Suspect        bool // has missed a probe and not refuted yet; State still says Alive
+	Suspect        bool   // has missed a probe and not refuted yet; State still says Alive
 	ConfigRevision uint64 // highest revision in force there that was heard of
 	Since          time.Time
 }
