--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,9 +56,6 @@
 		return nil, Answer{}, x.failure(ctx, to, err)
 	}
 	a := x.f.opts.Codec.Answer(resp.Status, resp.Header)
-	if a.Load != nil {
-		x.f.opts.Loaded(to.Name, *a.Load)
-	}
 	if a.Leaving {
 		x.f.metrics.leavingAnswers.Inc()
 	}
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -46,16 +46,9 @@
 	Executed bool // false: the upstream states that it has not run the request and never will
 	Proof    bool // the answer proves its origin
 	Misfit   bool // another upstream has the address now
-	Load     *Load
 	Leaving  bool
 }
 
-// Load is an upstream's own view of its load.
-type Load struct {
-	Running, Waiting, Slots int
-	Slowness                float64 // of its machine at this moment; 1 is usual, 0 not stated
-}
-
 // Codec translates between the project's types and a protocol of callers and upstreams.
 type Codec interface {
 	// Call reads a request. It removes from the header what only this system may set and what belongs to one connection.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -43,8 +43,6 @@
 	Sent func()
 	// Leaving is told when an upstream answers that it takes no more work.
 	Leaving func(upstream string)
-	// Loaded is told of the load that an upstream states.
-	Loaded func(upstream string, l Load)
 }
 
 // Front is the handler of callers.
@@ -68,9 +66,6 @@
 	if o.Leaving == nil {
 		o.Leaving = func(string) {}
 	}
-	if o.Loaded == nil {
-		o.Loaded = func(string, Load) {}
-	}
 	return &Front{opts: o, metrics: newMetricSet()}
 }
 
