Remove what nothing reads, and build the failure of an unproven answer once

Ruled out: joining forward's and gateway's reading of bodies; their limits come from different configurations.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -1,7 +1,6 @@
 package conns
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -172,9 +171,6 @@
 	return &Error{Stage: Answered, Reset: r.ctx.Err() == nil && !isTimeout(err), Err: err}
 }
 
-// Ended says that the whole body was read.
-func (r *Response) Ended() bool { return r.ended }
-
 // Close ends the exchange. The connection is kept only after a complete answer that allows it.
 func (r *Response) Close() {
 	alive := r.stop()
@@ -202,6 +198,3 @@
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
 }
-
-// Lines returns a reader of the body for streams of events.
-func (r *Response) Lines() *bufio.Reader { return bufio.NewReaderSize(r, readBuffer) }
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -95,7 +95,6 @@
 	pool    *Pool
 	address string
 	r       *bufio.Reader
-	used    bool      // has carried an exchange
 	until   time.Time // when it is too old to be used again
 }
 
@@ -161,7 +160,7 @@
 		c.discard()
 		return
 	}
-	c.used, c.until = true, time.Now().Add(life)
+	c.until = time.Now().Add(life)
 	p := c.pool
 	p.mu.Lock()
 	keep := !p.closed && len(p.idle[c.address]) < p.opts.MaxIdle
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,7 +31,6 @@
 	"bergamotcroft.example/bergamot/peer"
 	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/policy"
-	"bergamotcroft.example/bergamot/policy/retry"
 	"bergamotcroft.example/bergamot/quarantine"
 	"bergamotcroft.example/bergamot/scheduler"
 	"bergamotcroft.example/bergamot/store"
@@ -58,7 +57,6 @@
 	pool    *conns.Pool
 	gateway *gateway.Gateway
 	front   *forward.Front
-	retry   *retry.Window
 	servers []*server
 	group   run.Group
 	known   map[string]bool // upstream addresses with connections; owned by the catalog's observer
@@ -193,7 +191,7 @@
 // peerStates implements catalog.Peers.
 type peerStates struct{ e *Edge }
 
-// Peer names a random peer, one of the own data centre where there is one.
+// Peer names a random peer, one of the own data centre in half of the calls where there is one.
 func (p peerStates) Peer() string {
 	var near, far []string
 	for _, m := range p.e.list.Members() {
@@ -222,11 +220,10 @@
 
 // buildGateway makes the scheduler and the front.
 func (e *Edge) buildGateway() error {
-	sched, window, err := newScheduler(e)
+	sched, err := newScheduler(e)
 	if err != nil {
 		return err
 	}
-	e.retry = window
 	e.gateway = gateway.New(gateway.Options{
 		Scheduler: sched, Log: e.log, Quarantine: quarantine.New(quarantine.Options{List: e.list}),
 	})
--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -19,25 +19,25 @@
 const queueCapacity = 500
 
 // newScheduler composes the policies for the platform's engines and services.
-func newScheduler(e *Edge) (*scheduler.Scheduler, *retry.Window, error) {
+func newScheduler(e *Edge) (*scheduler.Scheduler, error) {
 	router, err := kernel.Load[policy.Router]("routing.measured", nil)
 	if err != nil {
-		return nil, nil, trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	if m, ok := router.(*routing.Measured); ok {
 		m.DataCentre = e.set.DataCentre
 	}
 	admitter, err := kernel.Load[policy.Admitter]("admission.patience", nil)
 	if err != nil {
-		return nil, nil, trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	health, err := kernel.Load[policy.HealthTracker]("health.reachable", nil)
 	if err != nil {
-		return nil, nil, trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	window, err := kernel.Load[*retry.Window]("retry.window", nil)
 	if err != nil {
-		return nil, nil, trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	b := e.set.Bounds
 	window.Ratio, window.Slack = b.RetryRatio, b.RetrySlack
@@ -48,7 +48,7 @@
 	return scheduler.New(scheduler.Options{
 		Router: router, Admitter: admitter, Health: health, Retry: window, QueueCapacity: queueCapacity, NewCache: routing.NewIndex,
 		NoYield: true, NoRescue: true, KeepsImports: true,
-	}), window, nil
+	}), nil
 }
 
 // members counts the entry VMs that may share the retry budget: all that are not known to be gone.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -148,14 +148,19 @@
 		return nil, x.failure(ctx, &p.Decode, err)
 	}
 	if !a.Proof && resp.Status/100 == 2 {
-		x.f.opts.Log.Warn("answer without proof", zap.String("request", x.call.ID), zap.String("upstream", p.Decode.Name), zap.Int("status", resp.Status))
-		return nil, &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.AnswerMismatch, Cause: errUnproven}
+		return nil, x.unproven(p, resp)
 	}
 	h := x.f.opts.Codec.Relay(resp.Header)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	return &whole{resp.Status, h, body}, nil
 }
 
+// unproven is the failure of an answer that does not prove its origin.
+func (x *exchange) unproven(p *gateway.Placement, resp *conns.Response) *upstream.Failure {
+	x.f.opts.Log.Warn("answer without proof", zap.String("request", x.call.ID), zap.String("upstream", p.Decode.Name), zap.Int("status", resp.Status))
+	return &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.AnswerMismatch, Cause: errUnproven}
+}
+
 // attemptStream sends a request whose answer is a stream of events.
 func (x *exchange) attemptStream(ctx context.Context, p *gateway.Placement) error {
 	x.logSend(p)
@@ -188,8 +193,7 @@
 		return x.streamFailed(ctx, p, resp, a)
 	}
 	if !a.Proof {
-		x.f.opts.Log.Warn("answer without proof", zap.String("request", x.call.ID), zap.String("upstream", p.Decode.Name), zap.Int("status", resp.Status))
-		return &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.AnswerMismatch, Cause: errUnproven}
+		return x.unproven(p, resp)
 	}
 	return x.relay(ctx, p, resp)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,7 +113,6 @@
 	body    []byte
 	uri     string
 	until   time.Time // end of the caller's patience or of the route's time limit
-	client  time.Time // end of the caller's patience
 
 	begun    bool // the answer's header is out
 	lastID   string
@@ -202,8 +201,7 @@
 	if left <= 0 {
 		left = defaultWait
 	}
-	x.client = x.arrival.Add(left)
-	x.until = x.client
+	x.until = x.arrival.Add(left)
 	if t := x.route.Timeout; t > 0 && t < left {
 		x.until = x.arrival.Add(t - timeoutMargin)
 	}
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -107,12 +107,6 @@
 	return allowed - b.resends - b.hedges, w.HedgeShare*allowed - b.hedges
 }
 
-// Left is the number of sends beyond the first that r's service may still get from this entry VM.
-func (w *Window) Left(now time.Duration, r *policy.Request) float64 {
-	n, _ := w.left(now, r)
-	return n
-}
-
 // Retry implements policy.RetryPolicy.
 func (w *Window) Retry(now time.Duration, r *policy.Request, o policy.Outcome) (bool, time.Duration) {
 	if now >= r.Deadline {
