Look again when a claim ends between two looks at it

Cause: a repeat at another entry VM reads the claim as running, and asks then whether its holder still runs it. If the outcome is recorded in between, the holder has ended it and the repeat is told that the outcome is unknown, although it is in the store.

Ruled out: a full queue of outcomes (no lost outcome counted) and a lost write of the claim (the next read finds the answer).

Change: the VM that holds the claim reads the shard once more before it says that the outcome is unknown.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -179,7 +179,19 @@
 		}
 		s.o.Log.Debug("shard owner does not answer", zap.String("owner", m.Name), zap.Error(err))
 	}
-	return s.verdict(o, s.shards[shardOf(o.key)].submit(ctx, o))
+	return s.apply(ctx, o)
+}
+
+// apply runs an op on its shard. A claim of this VM that the shard shows as running, and that has ended meanwhile, was
+// recorded between the two looks; the second try finds its outcome.
+func (s *Service) apply(ctx context.Context, o op) (peerv1.KeyVerdict, *Answer, error) {
+	shard := s.shards[shardOf(o.key)]
+	res := shard.submit(ctx, o)
+	verdict, a, err := s.verdict(o, res)
+	if result.CodeOf(err) == result.KeyOutcomeUnknown && res.entry.State == claimed && res.entry.Holder == s.o.Members.Self().Name {
+		return s.verdict(o, shard.submit(ctx, o))
+	}
+	return verdict, a, err
 }
 
 // owner returns the VM that writes the shard of a key, by rendezvous hash over the live members. Two VMs may both
@@ -304,7 +316,7 @@
 	}
 	o := op{kind: kind, key: string(r.GetKey()), fingerprint: r.GetFingerprint(), mark: r.GetMark(), holder: r.GetHolder(),
 		boot: r.GetHolderBoot(), answer: decodeAnswer(r.GetAnswer())}
-	v, a, err := s.verdict(o, s.shards[shardOf(o.key)].submit(ctx, o))
+	v, a, err := s.apply(ctx, o)
 	res := &peerv1.ClaimResponse{Verdict: v, Answer: encodeAnswer(a)}
 	if err != nil {
 		res.ResultCode = int32(result.CodeOf(err))
--- a/claims/guard_test.go
+++ b/claims/guard_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/matryer/is"
 
-	"bergamotcroft.example/bergamot/internal/knownred"
 	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
@@ -44,7 +43,6 @@
 // Guards against two crews for one booking when the same key comes to two entry VMs at once, and against the second
 // caller not being told the answer of the first.
 func TestSameKeyAtTwoEntryVMs(t *testing.T) {
-	knownred.Skip(t)
 	with(t, func(t *testing.T, _ *memory, _ *network, g []*Service) {
 		is := is.New(t)
 		var grants []Grant
@@ -83,6 +81,24 @@
 	})
 }
 
+// Guards against a repeat that is told that the outcome is unknown because the outcome was recorded between the look at
+// the shard and the look at the grants in progress.
+func TestRepeatsWhileTheOutcomeIsRecorded(t *testing.T) {
+	const rounds = 300 // one round meets the moment in about one of ten
+	with(t, func(t *testing.T, _ *memory, _ *network, g []*Service) {
+		is := is.New(t)
+		for i := range rounds {
+			key := fmt.Sprint("k", i)
+			gr, _, err := g[i%len(g)].Begin(t.Context(), "c", key, 1)
+			is.NoErr(err)
+			gr.Finish(&Answer{Status: 201, Body: []byte("crew 7")})
+			_, a, err := g[(i+1)%len(g)].Begin(t.Context(), "c", key, 1)
+			is.NoErr(err)
+			is.Equal(string(a.Body), "crew 7")
+		}
+	})
+}
+
 // Guards against a resend that runs again after its VM was killed between claim and send, or between send and finish.
 func TestKilledHolder(t *testing.T) {
 	with(t, func(t *testing.T, store *memory, net *network, g []*Service) {
