Let followers turn to another watcher, and look at the store seldom, when theirs has lost it

Cause: a follower whose watcher lost the store watched the store itself, with the watchers' pause of at most 150 ms. While the store was down, 67 of 75 VMs called it about 14 times a second each.

Change: a watcher tells at once that it has lost the store; its followers ask the other watchers, first of their own data centre, then of the others, and meanwhile try the store themselves every 1.5 s. What has not changed is left out of the answers.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -61,8 +61,9 @@
 	ReturnGrace time.Duration
 	// Peers fetches states from peers; nil: none.
 	Peers Peers
-	// Watcher returns the address of the entry VM that watches the store for this one, or "" when this one watches it itself. nil: always "".
-	Watcher func() string
+	// Watchers returns the addresses of the entry VMs that watch the store for this one, the best first, or none when this one watches it
+	// itself. nil: always none.
+	Watchers func() []string
 	Log     *zap.Logger
 	Clock   store.Clock
 	// Adopted is called with each new revision of the store that is in force here. It must not block.
@@ -99,6 +100,7 @@
 	tableAt     uint64               // generation of table
 	grown       chan struct{}        // closed when generation grows
 	following   bool                 // a watcher's state stands in for the own watches
+	named       bool                 // other entry VMs watch the store for this one, as a rule
 }
 
 // record is an entry with its stored form and what is pending for it.
--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,6 +20,10 @@
 	followPatience = exportWait + 600*time.Millisecond
 	// followPause lies between two calls, so that changes in quick succession share one.
 	followPause = 50 * time.Millisecond
+	// lostPause lies between two rounds in which all watchers have failed: their return is known within a second.
+	lostPause = time.Second
+	// preferAfter is how long a follower stays with a watcher that is not its first choice; one that flaps costs a call each time.
+	preferAfter = 10 * time.Second
 )
 
 // exported is a state as peers exchange it: the stored forms, so that each reads them as from the store.
@@ -26,6 +31,8 @@
 	Revision      uint64          `json:"revision"` // of the store
 	Boot          uint64          `json:"boot"`
 	Generation    uint64          `json:"generation"`              // of the sender's state
+	Lost          bool            `json:"lost,omitempty"`          // the sender does not reach the store
+	Unchanged     bool            `json:"unchanged,omitempty"`     // nothing has changed; the upstreams are left out
 	Configuration json.RawMessage `json:"configuration,omitempty"` // left out when unchanged
 	Upstreams     []exportedEntry `json:"upstreams"`               // all of them
 }
@@ -39,11 +46,12 @@
 
 var (
 	errIncomplete = errors.New("the state is not complete yet")
-	errStoreLost  = errors.New("this entry VM does not reach the store")
+	errStoreLost  = errors.New("the peer does not reach the store")
 	errRestarted  = errors.New("the peer has started anew")
 )
 
-// Export returns the state in force, what has changed after a generation. With after above 0 it waits for a change, for a time.
+// Export returns the state in force, what has changed after a generation. With after above 0 it waits for a change, or for the loss of the
+// store, for a time.
 func (c *Catalog) Export(ctx context.Context, after uint64) (uint64, []byte, error) {
 	if after > 0 {
 		c.awaitGrowth(ctx, after)
@@ -53,14 +61,14 @@
 	if !c.loaded[c.opts.Kinds.Configuration] || !c.loaded[c.opts.Kinds.Upstreams] {
 		return 0, nil, trace.Wrap(errIncomplete)
 	}
-	if after > 0 && len(c.unreachable) > 0 {
-		return 0, nil, trace.Wrap(errStoreLost) // a follower has to look for another watcher
-	}
-	x := exported{Revision: c.revision, Boot: c.boot, Generation: c.generation}
+	x := exported{Revision: c.revision, Boot: c.boot, Generation: c.generation, Lost: len(c.unreachable) > 0, Unchanged: c.generation == after}
 	if c.tableAt > after {
 		x.Configuration = c.rawTable
 	}
 	for name, r := range c.entries {
+		if x.Unchanged {
+			break
+		}
 		e := exportedEntry{Name: name, Version: r.version, Leaving: r.entry.Leaving}
 		if r.at > after {
 			e.Value = r.value
@@ -71,13 +79,13 @@
 	return x.Revision, b, trace.Wrap(err)
 }
 
-// awaitGrowth waits until the generation is above after, for exportWait at most.
+// awaitGrowth waits until the generation is above after or the store is lost, for exportWait at most.
 func (c *Catalog) awaitGrowth(ctx context.Context, after uint64) {
 	end := time.NewTimer(exportWait)
 	defer end.Stop()
 	for {
 		c.mu.Lock()
-		grown, done := c.grown, c.generation > after
+		grown, done := c.grown, c.generation > after || len(c.unreachable) > 0
 		c.mu.Unlock()
 		if done {
 			return
@@ -116,7 +124,7 @@
 			changed = c.importEntry(now, e, from, x.Revision) || changed
 		}
 		for name := range c.entries {
-			if !listed[name] && x.Revision > c.revision {
+			if !listed[name] && !x.Unchanged && x.Revision > c.revision {
 				changed = c.drop(now, name, "a peer that is ahead lacks it") || changed
 			}
 		}
@@ -148,6 +156,13 @@
 	return c.following
 }
 
+// hasWatchers says that other entry VMs watch the store for this one, as a rule.
+func (c *Catalog) hasWatchers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.named
+}
+
 // isCut says that the store does not answer this VM.
 func (c *Catalog) isCut() bool {
 	c.mu.Lock()
@@ -162,36 +177,85 @@
 	generation uint64
 }
 
-// followPeers follows the watcher that is named, and lets this VM watch the store itself while that fails. A VM that watches and is cut
-// off from the store follows any peer meanwhile, and goes on trying the store.
+// choice is a follower's choice among the watchers.
+type choice struct {
+	at       map[string]*position // by address, of the watchers named now
+	address  string               // in use
+	since    time.Time            // of address
+	failures int                  // in a row, over all watchers
+}
+
+// pick returns the watcher to call next: the one in use while it answers, the next one after a failure, and the first one again after a time.
+func (w *choice) pick(named []string, now time.Time) *position {
+	for address := range w.at {
+		if !slices.Contains(named, address) {
+			delete(w.at, address)
+		}
+	}
+	next := w.address
+	switch i := slices.Index(named, w.address); {
+	case i < 0:
+		next = named[0]
+	case w.failures > 0:
+		next = named[(i+1)%len(named)]
+	case i > 0 && now.Sub(w.since) > preferAfter:
+		next = named[0]
+	}
+	if next != w.address {
+		w.address, w.since = next, now
+	}
+	if w.at[next] == nil {
+		w.at[next] = &position{address: next}
+	}
+	return w.at[next]
+}
+
+// pause returns the time until the next call.
+func (w *choice) pause(named int) time.Duration {
+	switch {
+	case w.failures == 0:
+		return followPause
+	case w.failures%named != 0: // the next one may do
+		return 0
+	default:
+		return lostPause
+	}
+}
+
+// followPeers follows one of the watchers that are named, and lets this VM look at the store itself while that fails. A VM that watches and
+// is cut off from the store follows any peer meanwhile, and goes on trying the store.
 func (c *Catalog) followPeers(ctx context.Context) error {
-	var at position
+	watchers := choice{at: map[string]*position{}}
+	var standIn position
 	_ = c.opts.Clock.Sleep(ctx, peerCheck) // the store answers sooner, as a rule; an end of ctx ends the loop
 	for ctx.Err() == nil {
-		address, standIn := "", false
-		if c.opts.Watcher != nil {
-			address = c.opts.Watcher()
+		var named []string
+		if c.opts.Watchers != nil {
+			named = c.opts.Watchers()
 		}
-		if address == "" {
-			c.setFollowing(false, "", nil)
-			if standIn = c.isCut(); standIn {
-				address = c.opts.Peers.Peer()
+		if len(named) > 0 {
+			at := watchers.pick(named, c.opts.Clock.Now())
+			err := c.fetchFrom(ctx, at)
+			if watchers.failures++; err == nil {
+				watchers.failures = 0
 			}
-		}
-		if address == "" {
-			_ = c.opts.Clock.Sleep(ctx, peerCheck) // an end of ctx ends the loop
+			c.setFollowing(err == nil, true, at.address, err)
+			_ = c.opts.Clock.Sleep(ctx, watchers.pause(len(named)))
 			continue
 		}
-		if address != at.address {
-			at = position{address: address}
-		}
-		err := c.fetchFrom(ctx, &at)
-		if !standIn {
-			c.setFollowing(err == nil, address, err)
+		c.setFollowing(false, false, "", nil)
+		address := ""
+		if c.isCut() {
+			address = c.opts.Peers.Peer()
 		}
-		pause := followPause
-		if err != nil {
-			pause = peerRetry
+		pause := peerCheck
+		if address != "" {
+			if address != standIn.address {
+				standIn = position{address: address}
+			}
+			if pause = followPause; c.fetchFrom(ctx, &standIn) != nil {
+				pause = peerRetry
+			}
 		}
 		_ = c.opts.Clock.Sleep(ctx, pause)
 	}
@@ -216,13 +280,25 @@
 	}
 	c.take(&x, at.address)
 	at.boot, at.generation = x.Boot, x.Generation
+	if x.Lost {
+		return trace.Wrap(errStoreLost)
+	}
 	return nil
 }
 
-// setFollowing notes whether a watcher's state stands in for the own watches, and logs a change.
-func (c *Catalog) setFollowing(following bool, address string, err error) {
+// setFollowing notes whether a watcher's state stands in for the own watches, and logs a change. named says that there are watchers.
+func (c *Catalog) setFollowing(following, named bool, address string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.named = named
+	if errors.Is(err, errStoreLost) && !following {
+		now := c.opts.Clock.Now()
+		for _, kind := range []string{c.opts.Kinds.Configuration, c.opts.Kinds.Upstreams} {
+			if _, ok := c.unreachable[kind]; !ok && c.following {
+				c.unreachable[kind] = now // entries that lapse meanwhile have to be waited for
+			}
+		}
+	}
 	if c.following == following {
 		return
 	}
--- a/catalog/exchange_test.go
+++ b/catalog/exchange_test.go
@@ -61,7 +61,7 @@
 		run(leader)
 		time.Sleep(time.Second)
 		w := &watcherOf{c: leader}
-		follower := New(Options{Store: f, Decoder: plain{}, Kinds: kinds, Peers: w, Watcher: func() string { return "w" }})
+		follower := New(Options{Store: f, Decoder: plain{}, Kinds: kinds, Peers: w, Watchers: func() []string { return []string{"w"} }})
 		run(follower)
 		time.Sleep(3 * time.Second)
 		is.Equal(version(follower), uint64(1))
@@ -94,8 +94,8 @@
 		time.Sleep(time.Second)
 		f.set(func() { f.down = true })
 		time.Sleep(6 * time.Second)
-		_, _, err := leader.Export(ctx, 1)
-		is.True(errors.Is(err, errStoreLost))
+		at := position{address: "w"}
+		is.True(errors.Is(follower.fetchFrom(ctx, &at), errStoreLost))
 		cancel()
 		all.Wait()
 	})
@@ -136,3 +136,67 @@
 	is.NoErr(f.fetchFrom(t.Context(), &at))
 	is.Equal(version(f), uint64(5))
 }
+
+// fleetOf is watchers by address.
+type fleetOf map[string]*watcherOf
+
+func (f fleetOf) Peer() string { return "" }
+
+func (f fleetOf) Fetch(ctx context.Context, address string, after uint64) ([]byte, error) {
+	return f[address].Fetch(ctx, address, after)
+}
+
+// Guards against a whole fleet that calls the store as fast as its watchers do while it is down, and against a watcher without the store whose
+// followers do not turn to another one. Seen as 16,278 calls to the store on ruheraum-ops-grown trouble-3.
+func TestFollowersWithoutTheStore(t *testing.T) {
+	reached, cut := newFake(), newFake()
+	for _, f := range []*fake{reached, cut} {
+		f.put("config", "main", `{"v":1}`)
+		f.put("servers", "a", `{"s":"x"}`)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		reached.changed, cut.changed = make(chan struct{}), make(chan struct{})
+		own := newFake() // what the follower itself reaches
+		own.changed = make(chan struct{})
+		own.down = true
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		run := func(f *fake, o Options) *Catalog {
+			o.Store, o.Decoder, o.Kinds = f, plain{}, kinds
+			c := New(o)
+			all.Go(func() { is.NoErr(c.Run(ctx)) })
+			return c
+		}
+		peers := fleetOf{"first": {c: run(cut, Options{})}, "second": {c: run(reached, Options{})}}
+		time.Sleep(time.Second)
+		follower := run(own, Options{Peers: peers, Watchers: func() []string { return []string{"first", "second"} }})
+		time.Sleep(3 * time.Second)
+		is.Equal(version(follower), uint64(1))
+
+		cut.set(func() { cut.down = true })
+		time.Sleep(3 * time.Second)
+		reached.put("config", "main", `{"v":2}`)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(version(follower), uint64(2)) // from the second one
+
+		reached.set(func() { reached.down = true })
+		time.Sleep(3 * time.Second)
+		own.mu.Lock()
+		before := own.lists
+		own.mu.Unlock()
+		time.Sleep(12 * time.Second)
+		own.mu.Lock()
+		is.True(own.lists-before <= 2*12) // one a second of each kind at most
+		own.mu.Unlock()
+		is.Equal(names(follower), "a")
+
+		reached.set(func() { reached.down = false })
+		time.Sleep(2 * time.Second)
+		reached.put("config", "main", `{"v":3}`)
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(version(follower), uint64(3))
+		cancel()
+		all.Wait()
+	})
+}
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -26,6 +26,9 @@
 	longPatience = 2500 * time.Millisecond
 	patientEvery = 3
 	expireEvery  = 250 * time.Millisecond
+	// probeEvery lies between two tries of a VM that others watch the store for. Together with listPatience it stays below the three seconds in
+	// which a configuration has to be in force.
+	probeEvery = 1500 * time.Millisecond
 )
 
 // Peers fetches the state of another entry VM.
@@ -91,6 +94,9 @@
 			}()
 		}
 		wait := min(retryMin<<min(failures-1, 4), retryMax)
+		if c.hasWatchers() {
+			wait = probeEvery
+		}
 		if c.opts.Clock.Sleep(ctx, wait/2+store.Backoff(0)%(wait/2)) != nil {
 			break
 		}
@@ -210,6 +216,8 @@
 		return
 	}
 	c.unreachable[kind] = c.opts.Clock.Now()
+	close(c.grown) // followers look for another watcher
+	c.grown = make(chan struct{})
 	storeLosses.Inc()
 	c.opts.Log.Warn("store lost", zap.String("kind", kind), zap.Uint64("revision", c.revision), zap.String("error", short(err)))
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -182,7 +182,7 @@
 // buildCatalog follows the configuration and the upstreams.
 func (e *Edge) buildCatalog() {
 	e.catalog = catalog.New(catalog.Options{
-		Store: e.objects, Decoder: platform.Decoder{}, Kinds: platform.Kinds, Peers: peerStates{e}, Log: e.log, Watcher: e.watcher,
+		Store: e.objects, Decoder: platform.Decoder{}, Kinds: platform.Kinds, Peers: peerStates{e}, Log: e.log, Watchers: e.watchers,
 		Adopted: e.list.SetRevision,
 	})
 	e.addContext("catalog", e.catalog.Run)
--- a/edge/watchers.go
+++ b/edge/watchers.go
@@ -16,29 +16,46 @@
 	watchersEach = 2
 )
 
-// watcher returns the peer address of the VM that watches the store for this one, or "" when this one watches it itself.
-func (e *Edge) watcher() string {
-	return pickWatcher(e.list.Members(), e.set.VM, e.set.DataCentre)
-}
+// watchers returns the peer addresses of the VMs that watch the store for this one, or none when this one watches it itself.
+func (e *Edge) watchers() []string { return pickWatchers(e.list.Members(), e.set.VM, e.set.DataCentre) }
 
-// pickWatcher chooses among the strongest VMs of the data centre. All VMs with the same members choose the same watchers; followers
-// are spread over them by their names.
-func pickWatcher(all []membership.Member, self, dataCentre string) string {
+// pickWatchers chooses the strongest VMs of each data centre. All VMs with the same members choose the same ones. Those of the own data centre
+// come first; within each group, followers are spread by their names.
+func pickWatchers(all []membership.Member, self, dataCentre string) []string {
 	if len(all) <= watchAll {
-		return ""
+		return nil
 	}
-	var near []membership.Member
+	by := map[string][]membership.Member{}
 	for _, m := range all {
-		if m.DataCentre == dataCentre && m.State == membership.Alive && (!m.Suspect || m.Name == self) {
-			near = append(near, m)
+		if m.State == membership.Alive && (!m.Suspect || m.Name == self) {
+			by[m.DataCentre] = append(by[m.DataCentre], m)
+		}
+	}
+	var near, far []string
+	for dc, members := range by {
+		slices.SortFunc(members, func(a, b membership.Member) int {
+			return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
+		})
+		for _, m := range members[:min(len(members), watchersEach)] {
+			switch {
+			case m.Name == self:
+				return nil
+			case dc == dataCentre:
+				near = append(near, m.PeerAddress)
+			default:
+				far = append(far, m.PeerAddress)
+			}
 		}
 	}
-	slices.SortFunc(near, func(a, b membership.Member) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
-	})
-	near = near[:min(len(near), watchersEach)]
-	if len(near) == 0 || slices.ContainsFunc(near, func(m membership.Member) bool { return m.Name == self }) {
-		return ""
+	slices.Sort(far) // of the same order in each call
+	return append(rotated(near, self), rotated(far, self)...)
+}
+
+// rotated starts a list at an element that a name chooses.
+func rotated(list []string, name string) []string {
+	if len(list) == 0 {
+		return nil
 	}
-	return near[xxhash.Sum64String(self)%uint64(len(near))].PeerAddress
+	at := xxhash.Sum64String(name) % uint64(len(list))
+	return append(slices.Clone(list[at:]), list[:at]...)
 }
