Try the store with one kind of object after it was lost

Change: after both kinds are lost, the short list of configurations is tried alone, and the upstreams follow once it answers, or after 2 s. Followers try every 2 s.

--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -28,7 +28,9 @@
 	expireEvery  = 250 * time.Millisecond
 	// probeEvery lies between two tries of a VM that others watch the store for. Together with listPatience it stays below the three seconds in
 	// which a configuration has to be in force.
-	probeEvery = 1500 * time.Millisecond
+	probeEvery = 2 * time.Second
+	// configurationWait leaves the list of upstreams its time within the same three seconds.
+	configurationWait = 2 * time.Second
 )
 
 // Peers fetches the state of another entry VM.
@@ -100,10 +102,30 @@
 		if c.opts.Clock.Sleep(ctx, wait/2+store.Backoff(0)%(wait/2)) != nil {
 			break
 		}
+		if kind == c.opts.Kinds.Upstreams {
+			c.awaitConfiguration(ctx)
+		}
 	}
 	return nil
 }
 
+// awaitConfiguration waits while the configuration, whose list is short, can't be read either: one kind shows whether the store is back. It
+// gives up after configurationWait, in case that only this kind fails.
+func (c *Catalog) awaitConfiguration(ctx context.Context) {
+	for end := c.opts.Clock.Now().Add(configurationWait); c.isLost(c.opts.Kinds.Configuration) && c.opts.Clock.Now().Before(end); {
+		if c.opts.Clock.Sleep(ctx, retryMin) != nil {
+			return
+		}
+	}
+}
+
+func (c *Catalog) isLost(kind string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, lost := c.unreachable[kind]
+	return lost
+}
+
 // loadWithin lists a kind within a time.
 func loadWithin(ctx context.Context, load func(context.Context) (uint64, error), patience time.Duration) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
