Let the data centres of a large fleet tell one another their loads and placements

Cause: above 16 VMs each VM told only those of its own data centre what it had in hand and placed.

Ruled out: lost datagrams and the index of kept parts (the small fleet, where all tell all, reads a tenth again).

Three datagrams leave a data centre each time.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -64,8 +64,8 @@
 	// Watchers returns the addresses of the entry VMs that watch the store for this one, the best first, or none when this one watches it
 	// itself. nil: always none.
 	Watchers func() []string
-	Log     *zap.Logger
-	Clock   store.Clock
+	Log      *zap.Logger
+	Clock    store.Clock
 	// Adopted is called with each new revision of the store that is in force here. It must not block.
 	Adopted func(revision uint64)
 }
--- a/edge/watchers.go
+++ b/edge/watchers.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,18 +24,9 @@
 	if len(all) <= watchAll {
 		return nil
 	}
-	by := map[string][]membership.Member{}
-	for _, m := range all {
-		if m.State == membership.Alive && (!m.Suspect || m.Name == self) {
-			by[m.DataCentre] = append(by[m.DataCentre], m)
-		}
-	}
 	var near, far []string
-	for dc, members := range by {
-		slices.SortFunc(members, func(a, b membership.Member) int {
-			return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
-		})
-		for _, m := range members[:min(len(members), watchersEach)] {
+	for dc, members := range membership.Strongest(all, self, watchersEach) {
+		for _, m := range members {
 			switch {
 			case m.Name == self:
 				return nil
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -7,8 +7,11 @@
 package loads
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,7 +50,7 @@
 	keepAlive = time.Second
 	silence   = 3 * time.Second
 	// allPeers is the number of entry VMs up to which each tells all others. In larger fleets each tells those of its own data
-	// centre, so that the traffic between data centres does not grow with the square of the fleet.
+	// centre, and the data centres tell one another through relays.
 	allPeers = 16
 	// placeRepeats is how often a placement is sent, against lost datagrams.
 	placeRepeats = 2
@@ -70,6 +73,8 @@
 	seq      uint64
 	lastOwn  []load
 	lastSent time.Time
+
+	relaying relaying
 }
 
 type pending struct {
@@ -81,6 +86,7 @@
 	boot, seq uint64
 	at        time.Time
 	loads     []load
+	centre    string // of a sum: the data centre
 }
 
 var (
@@ -159,6 +165,7 @@
 		if len(x.pending) < maxPending {
 			x.pending = append(x.pending, pending{placement{hash(u), parts}, placeRepeats})
 		}
+		x.noteForRelay(placement{hash(u), parts})
 	}
 }
 
@@ -178,6 +185,7 @@
 		return // ctx has ended
 	}
 	x.send(now, own)
+	x.relay(now, own)
 }
 
 // collect sums what peers have in hand and forgets what is too old.
@@ -191,12 +199,7 @@
 			x.fresh = true
 			continue
 		}
-		for _, l := range p.loads {
-			sum := others[l.upstream]
-			sum.running += l.running
-			sum.prompt += l.prompt
-			others[l.upstream] = sum
-		}
+		add(others, p.loads)
 	}
 	places, changed = x.places, x.fresh
 	x.places, x.fresh = nil, false
@@ -244,12 +247,17 @@
 	x.seq++
 	x.lastOwn, x.lastSent = own, now
 	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, places: places}
+	x.tell(x.targets(), m)
+}
+
+// tell sends a message to addresses.
+func (x *Exchange) tell(to []string, m message) {
 	datagram := membership.Seal(x.opts.Secret, m.encode())
 	if len(datagram) > maxDatagram {
 		m.places = nil // counts go first; placements are only a saving
 		datagram = membership.Seal(x.opts.Secret, m.encode())
 	}
-	for _, address := range x.targets() {
+	for _, address := range to {
 		sent.Inc()
 		x.opts.Transport.Send(address, datagram)
 	}
@@ -272,6 +280,12 @@
 	return out
 }
 
+// listed returns a sum in a stable order.
+func listed(sum map[uint32]load) []load {
+	out := slices.SortedFunc(maps.Values(sum), func(a, b load) int { return cmp.Compare(a.upstream, b.upstream) })
+	return out[:min(len(out), maxLoads)]
+}
+
 func same(a, b []load) bool {
 	if len(a) != len(b) {
 		return false
@@ -335,6 +349,10 @@
 
 // hear takes a message unless a newer one has come from the same process.
 func (x *Exchange) hear(now time.Time, from string, m message) {
+	if m.centre != "" {
+		x.hearRelayed(now, from, m)
+		return
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.peers[from]
@@ -345,10 +363,16 @@
 		x.last[host] = now
 	}
 	x.peers[from] = &heard{boot: m.boot, seq: m.seq, at: now, loads: m.loads}
-	x.places = append(x.places, m.places...)
+	x.noteForRelay(m.places...)
+	x.takePlaces(m.places)
+	x.Changed()
+}
+
+// takePlaces keeps placements for the scheduler. The lock is held.
+func (x *Exchange) takePlaces(places []placement) {
+	x.places = append(x.places, places...)
 	if len(x.places) > maxPending {
 		x.places = x.places[len(x.places)-maxPending:]
 	}
 	x.fresh = true
-	x.Changed()
 }
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -75,7 +75,7 @@
 // Guards against messages that are read differently from how they were written, and against a panic on strangers' bytes.
 func TestMessages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := message{boot: rapid.Uint64().Draw(t, "boot"), seq: rapid.Uint64().Draw(t, "seq")}
+		m := message{boot: rapid.Uint64().Draw(t, "boot"), seq: rapid.Uint64().Draw(t, "seq"), centre: rapid.StringN(0, -1, maxCentre).Draw(t, "centre")}
 		for range rapid.IntRange(0, 20).Draw(t, "loads") {
 			m.loads = append(m.loads, load{rapid.Uint32().Draw(t, "u"), rapid.Uint64Range(0, 999).Draw(t, "r"), rapid.Uint64Range(0, 9999).Draw(t, "p") * promptUnit})
 		}
@@ -84,7 +84,7 @@
 		}
 		b := m.encode()
 		got, err := decode(b)
-		if err != nil || got.boot != m.boot || got.seq != m.seq || !same(got.loads, m.loads) || len(got.places) != len(m.places) {
+		if err != nil || got.boot != m.boot || got.seq != m.seq || got.centre != m.centre || !same(got.loads, m.loads) || len(got.places) != len(m.places) {
 			t.Fatalf("%v: %+v is not %+v", err, got, m)
 		}
 		_, _ = decode(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")])
@@ -162,3 +162,71 @@
 	}
 	is.Equal(len(w.to), 3)
 }
+
+// deliver hands the last datagram of a wire to an exchange.
+func deliver(t *testing.T, w *wire, to *Exchange, from string, now time.Time) {
+	t.Helper()
+	payload, ok := membership.Open("s", w.last)
+	if !ok {
+		t.Fatal("no datagram")
+	}
+	m, err := decode(payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	to.hear(now, from, m)
+}
+
+// Guards against a large fleet in which each data centre computes the same shared parts again and does not know of the others' load. Seen on
+// ruheraum-ops-grown: a quarter of all prompt tokens read were shared parts that some engine held.
+func TestDataCentresHearOfOneAnother(t *testing.T) {
+	is := is.New(t)
+	dc := func(i int) string { return string(rune('a' + i%4)) }
+	newAt := func(name string) (*Exchange, *wire, *scheduler.Scheduler, *list) {
+		x, w, s := newExchange(t, 40, dc)
+		l := x.opts.List.(*list)
+		for _, m := range l.members {
+			if m.Name == name {
+				l.self = m
+			}
+		}
+		return x, w, s, l
+	}
+	_, _, _, l := newAt("1")
+	chosen := relays(l.members, "1")
+	is.Equal(len(chosen), 4)
+	here, there := chosen["a"], chosen["b"]
+	var other membership.Member // of there's data centre
+	for _, m := range l.members {
+		if m.DataCentre == "b" && m.Name != there.Name {
+			other = m
+		}
+	}
+	sender, out, _, _ := newAt(here.Name)
+	relay, passed, near, _ := newAt(there.Name)
+	last, _, far, _ := newAt(other.Name)
+	now := time.Unix(100, 0)
+	for _, x := range []*Exchange{sender, relay, last} {
+		x.round(t.Context(), now)
+	}
+	parts := []policy.Part{{ID: 77, Tokens: 5000}}
+	sender.hear(now, "10.0.0.9:9", message{boot: 1, seq: 1, loads: []load{{hash("b"), 3, 6400}}, places: []placement{{hash("b"), parts}}})
+	now = now.Add(relayEvery)
+	out.to = nil
+	sender.round(t.Context(), now)
+	is.Equal(len(out.to), 3) // the relays of the other data centres
+
+	deliver(t, out, relay, here.Address, now)
+	is.Equal(len(passed.to) > 0, true)
+	deliver(t, passed, last, there.Address, now)
+	relay.round(t.Context(), now)
+	last.round(t.Context(), now)
+	for _, s := range []*scheduler.Scheduler{near, far} {
+		is.Equal(s.Fleet().Upstreams[1].OtherRunning(), 3)
+		is.Equal(s.Fleet().Upstreams[1].Cache.Match(policy.PrefixPieces(parts)), 5)
+	}
+	n := len(passed.to)
+	deliver(t, out, relay, here.Address, now) // a second time
+	is.Equal(len(passed.to), n)
+	is.Equal(relays(l.members[:allPeers], "1"), nil)
+}
--- a/loads/message.go
+++ b/loads/message.go
@@ -11,11 +11,12 @@
 type message struct {
 	boot   uint64 // start of the process
 	seq    uint64
+	centre string // of a sum: its data centre; empty: the sender's own
 	loads  []load
 	places []placement
 }
 
-// load is the sender's own work in hand at one upstream.
+// load is the work in hand at one upstream.
 type load struct {
 	upstream uint32 // hash of the name
 	running  uint64
@@ -42,6 +43,8 @@
 	b := make([]byte, 0, 256)
 	b = binary.AppendUvarint(b, m.boot)
 	b = binary.AppendUvarint(b, m.seq)
+	b = binary.AppendUvarint(b, uint64(len(m.centre)))
+	b = append(b, m.centre...)
 	b = binary.AppendUvarint(b, uint64(len(m.loads)))
 	for _, l := range m.loads {
 		b = binary.BigEndian.AppendUint32(b, l.upstream)
@@ -98,6 +101,7 @@
 func decode(b []byte) (message, error) {
 	r := reader{b: b}
 	m := message{boot: r.number(), seq: r.number()}
+	m.centre = string(r.fixed(r.count(maxCentre)))
 	for range r.count(maxLoads) {
 		m.loads = append(m.loads, load{binary.BigEndian.Uint32(r.fixed(4)), r.number(), r.number() * promptUnit})
 	}
