Tell the scheduler only the loads that have changed, and send long sums in parts

Cause: each round of the exchange, up to 200 a second, told the scheduler the load of every upstream.

Ruled out: routing (microseconds a request) and the members' gossip.

Change: the sum over peers is kept up to date with each message, a round tells what has changed, and all every 0.5 s. A sum that does not fit into one datagram is sent in parts, and large fleets send sums less often.

--- a/loads/loads.go
+++ b/loads/loads.go
@@ -55,6 +55,9 @@
 	// placeRepeats is how often a placement is sent, against lost datagrams.
 	placeRepeats = 2
 	maxPending   = 256 // placements that wait to be sent
+	// tellAll lies between two times that the scheduler is told all loads, not only those that have changed. It bounds how long a new upstream
+	// in the place of an old one goes without its load.
+	tellAll = 500 * time.Millisecond
 )
 
 // Exchange sends and collects loads.
@@ -68,13 +71,16 @@
 	peers   map[string]*heard
 	last    map[string]time.Time // by host: the last message of a peer, also long ago
 	places  []placement          // received and not yet applied
-	fresh   bool                 // something came since the last look
+	sum     map[uint32]load      // of all peers
+	dirty   map[uint32]struct{}  // upstreams whose sum has changed since the last look
 
 	seq      uint64
 	lastOwn  []load
 	lastSent time.Time
 
+	toldAll  time.Time // when the scheduler was told all loads
 	relaying relaying
+	view     view
 }
 
 type pending struct {
@@ -87,6 +93,7 @@
 	at        time.Time
 	loads     []load
 	centre    string // of a sum: the data centre
+	parts     uint64 // of a sum
 }
 
 var (
@@ -100,7 +107,8 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Exchange{opts: o, peers: map[string]*heard{}, last: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+	return &Exchange{opts: o, peers: map[string]*heard{}, last: map[string]time.Time{}, sum: map[uint32]load{}, dirty: map[uint32]struct{}{},
+		wake: make(chan struct{}, 1)}
 }
 
 // Run takes part until ctx ends.
@@ -173,37 +181,68 @@
 
 // round takes what has come into the scheduler and sends the own counts where they have changed.
 func (x *Exchange) round(ctx context.Context, now time.Time) {
-	others, places, changed := x.collect(now)
+	all := now.Sub(x.toldAll) >= tellAll
+	others, places := x.collect(now, all)
 	var own []load
 	err := x.opts.Do(ctx, func(at time.Duration, s *scheduler.Scheduler) {
 		own = counts(s)
-		if changed {
-			apply(at, s, others, places)
-		}
+		x.view.apply(at, s, all, others, places)
 	})
 	if err != nil {
 		return // ctx has ended
 	}
+	if all {
+		x.toldAll = now
+	}
 	x.send(now, own)
 	x.relay(now, own)
 }
 
-// collect sums what peers have in hand and forgets what is too old.
-func (x *Exchange) collect(now time.Time) (others map[uint32]load, places []placement, changed bool) {
+// collect forgets what is too old and returns what peers have in hand at the upstreams where it has changed, or at all.
+func (x *Exchange) collect(now time.Time, all bool) (others map[uint32]load, places []placement) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	others = map[uint32]load{}
 	for name, p := range x.peers {
 		if now.Sub(p.at) > life {
-			delete(x.peers, name)
-			x.fresh = true
-			continue
+			x.replace(name, nil)
 		}
-		add(others, p.loads)
 	}
-	places, changed = x.places, x.fresh
-	x.places, x.fresh = nil, false
-	return others, places, changed
+	if all {
+		others = maps.Clone(x.sum)
+	} else {
+		others = make(map[uint32]load, len(x.dirty))
+		for u := range x.dirty {
+			others[u] = x.sum[u]
+		}
+	}
+	clear(x.dirty)
+	places, x.places = x.places, nil
+	return others, places
+}
+
+// replace puts what a peer has in hand in the place of what it had. nil forgets the peer. The lock is held.
+func (x *Exchange) replace(name string, p *heard) {
+	if old := x.peers[name]; old != nil {
+		for _, l := range old.loads {
+			sum := x.sum[l.upstream]
+			sum = load{l.upstream, sum.running - l.running, sum.prompt - l.prompt}
+			if sum.running == 0 && sum.prompt == 0 {
+				delete(x.sum, l.upstream)
+			} else {
+				x.sum[l.upstream] = sum
+			}
+			x.dirty[l.upstream] = struct{}{}
+		}
+	}
+	if p == nil {
+		delete(x.peers, name)
+		return
+	}
+	x.peers[name] = p
+	add(x.sum, p.loads)
+	for _, l := range p.loads {
+		x.dirty[l.upstream] = struct{}{}
+	}
 }
 
 // counts is what this entry VM has in hand.
@@ -217,18 +256,50 @@
 	return own
 }
 
-func apply(now time.Duration, s *scheduler.Scheduler, others map[uint32]load, places []placement) {
-	for i, u := range s.Fleet().Upstreams {
-		l := others[uint32(u.Hash)]
-		s.Report(now, i, policy.LoadReport{At: now, Running: int(l.running), PrefillTokens: float64(l.prompt)})
+// view finds the scheduler's upstreams. Only the scheduler's goroutine uses it.
+type view struct {
+	index map[uint32]int // by hash of the name
+	size  int            // upstreams in index
+}
+
+// apply tells the scheduler the loads that have changed, or those of all upstreams.
+func (v *view) apply(now time.Duration, s *scheduler.Scheduler, all bool, others map[uint32]load, places []placement) {
+	upstreams := s.Fleet().Upstreams
+	if all || v.size != len(upstreams) {
+		v.index, v.size = make(map[uint32]int, len(upstreams)), len(upstreams)
+		for i, u := range upstreams {
+			v.index[uint32(u.Hash)] = i
+		}
 	}
-	for _, p := range places {
-		for i, u := range s.Fleet().Upstreams {
-			if uint32(u.Hash) == p.upstream {
-				s.CacheEvent(now, i, scheduler.CacheEvent{Inserted: policy.PrefixPieces(p.parts)})
+	if all {
+		for i, u := range upstreams {
+			report(now, s, i, others[uint32(u.Hash)])
+		}
+	} else {
+		for h, l := range others {
+			if i, ok := v.find(s, h); ok {
+				report(now, s, i, l)
 			}
 		}
 	}
+	for _, p := range places {
+		if i, ok := v.find(s, p.upstream); ok {
+			s.CacheEvent(now, i, scheduler.CacheEvent{Inserted: policy.PrefixPieces(p.parts)})
+		}
+	}
+}
+
+// find returns the place of an upstream. Places are used again, so that the index may be out of date until the next time that all are told.
+func (v *view) find(s *scheduler.Scheduler, upstream uint32) (int, bool) {
+	i, ok := v.index[upstream]
+	if !ok || uint32(s.Fleet().Upstreams[i].Hash) != upstream {
+		return 0, false
+	}
+	return i, true
+}
+
+func report(now time.Duration, s *scheduler.Scheduler, i int, l load) {
+	s.Report(now, i, policy.LoadReport{At: now, Running: int(l.running), PrefillTokens: float64(l.prompt)})
 }
 
 // send tells the peers.
@@ -282,8 +353,7 @@
 
 // listed returns a sum in a stable order.
 func listed(sum map[uint32]load) []load {
-	out := slices.SortedFunc(maps.Values(sum), func(a, b load) int { return cmp.Compare(a.upstream, b.upstream) })
-	return out[:min(len(out), maxLoads)]
+	return slices.SortedFunc(maps.Values(sum), func(a, b load) int { return cmp.Compare(a.upstream, b.upstream) })
 }
 
 func same(a, b []load) bool {
@@ -362,7 +432,7 @@
 	if host, ok := hostOf(from); ok {
 		x.last[host] = now
 	}
-	x.peers[from] = &heard{boot: m.boot, seq: m.seq, at: now, loads: m.loads}
+	x.replace(from, &heard{boot: m.boot, seq: m.seq, at: now, loads: m.loads})
 	x.noteForRelay(m.places...)
 	x.takePlaces(m.places)
 	x.Changed()
@@ -374,5 +444,4 @@
 	if len(x.places) > maxPending {
 		x.places = x.places[len(x.places)-maxPending:]
 	}
-	x.fresh = true
 }
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -34,15 +34,18 @@
 	membership.Transport
 	to   []string
 	last []byte
+	all  [][]byte
 }
 
-func (w *wire) Send(address string, datagram []byte) { w.to, w.last = append(w.to, address), datagram }
+func (w *wire) Send(address string, datagram []byte) {
+	w.to, w.last, w.all = append(w.to, address), datagram, append(w.all, datagram)
+}
 
 func member(name, dc string) membership.Member {
 	return membership.Member{Name: name, Address: "10.0.0." + name + ":7", DataCentre: dc}
 }
 
-func newExchange(t *testing.T, n int, dc func(int) string) (*Exchange, *wire, *scheduler.Scheduler) {
+func newExchange(t testing.TB, n int, dc func(int) string) (*Exchange, *wire, *scheduler.Scheduler) {
 	load := func(id string) any {
 		m, err := kernel.Load[any](id, nil)
 		if err != nil {
@@ -76,6 +79,10 @@
 func TestMessages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := message{boot: rapid.Uint64().Draw(t, "boot"), seq: rapid.Uint64().Draw(t, "seq"), centre: rapid.StringN(0, -1, maxCentre).Draw(t, "centre")}
+		if m.centre != "" {
+			m.parts = rapid.Uint64Range(1, maxRelayedParts).Draw(t, "parts")
+			m.part = rapid.Uint64Range(0, m.parts-1).Draw(t, "part")
+		}
 		for range rapid.IntRange(0, 20).Draw(t, "loads") {
 			m.loads = append(m.loads, load{rapid.Uint32().Draw(t, "u"), rapid.Uint64Range(0, 999).Draw(t, "r"), rapid.Uint64Range(0, 9999).Draw(t, "p") * promptUnit})
 		}
@@ -84,7 +91,7 @@
 		}
 		b := m.encode()
 		got, err := decode(b)
-		if err != nil || got.boot != m.boot || got.seq != m.seq || got.centre != m.centre || !same(got.loads, m.loads) || len(got.places) != len(m.places) {
+		if err != nil || got.boot != m.boot || got.seq != m.seq || got.centre != m.centre || got.part != m.part || got.parts != m.parts || !same(got.loads, m.loads) || len(got.places) != len(m.places) {
 			t.Fatalf("%v: %+v is not %+v", err, got, m)
 		}
 		_, _ = decode(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")])
@@ -230,3 +237,52 @@
 	is.Equal(len(passed.to), n)
 	is.Equal(relays(l.members[:allPeers], "1"), nil)
 }
+
+// Guards against sums that do not fit into a datagram, and against a part that stays after the sum has fewer parts.
+func TestLongSumsAreSentInParts(t *testing.T) {
+	is := is.New(t)
+	dc := func(i int) string { return string(rune('a' + i%2)) }
+	x, w, _ := newExchange(t, 20, dc)
+	l := x.opts.List.(*list)
+	l.self = relays(l.members, "")["a"]
+	now := time.Unix(100, 0)
+	x.round(t.Context(), now)
+	var loads []load
+	for i := range 3 * relayedLoads {
+		loads = append(loads, load{uint32(i), 1, promptUnit})
+	}
+	near := ""
+	for _, m := range l.members {
+		if m.DataCentre == "a" && m.Name != l.self.Name {
+			near = m.Address
+		}
+	}
+	x.hear(now, near, message{boot: 1, seq: 1, loads: loads[:len(loads)/2]})
+	x.hear(now, near+"1", message{boot: 1, seq: 1, loads: loads[len(loads)/2:]})
+	other, _, _ := newExchange(t, 20, dc)
+	lo := other.opts.List.(*list)
+	lo.self = relays(l.members, "")["b"]
+	take := func(n int) {
+		now = now.Add(relayEvery)
+		w.all = nil
+		x.round(t.Context(), now)
+		sums := 0
+		for _, b := range w.all {
+			payload, _ := membership.Open("s", b)
+			m, err := decode(payload)
+			is.NoErr(err)
+			is.True(len(b) <= maxDatagram)
+			if m.centre != "" {
+				sums++
+				other.hear(now, l.self.Address, m)
+			}
+		}
+		is.Equal(sums, n)
+	}
+	take(3)
+	is.Equal(len(other.sum), len(loads))
+	x.hear(now, near+"1", message{boot: 1, seq: 2})
+	x.hear(now, near, message{boot: 1, seq: 2, loads: loads[:10]})
+	take(1)
+	is.Equal(len(other.sum), 10)
+}
--- a/loads/message.go
+++ b/loads/message.go
@@ -12,6 +12,8 @@
 	boot   uint64 // start of the process
 	seq    uint64
 	centre string // of a sum: its data centre; empty: the sender's own
+	part   uint64 // of a sum that is sent in parts, which share the upstreams by their hashes
+	parts  uint64
 	loads  []load
 	places []placement
 }
@@ -45,6 +47,10 @@
 	b = binary.AppendUvarint(b, m.seq)
 	b = binary.AppendUvarint(b, uint64(len(m.centre)))
 	b = append(b, m.centre...)
+	if m.centre != "" {
+		b = binary.AppendUvarint(b, m.part)
+		b = binary.AppendUvarint(b, m.parts)
+	}
 	b = binary.AppendUvarint(b, uint64(len(m.loads)))
 	for _, l := range m.loads {
 		b = binary.BigEndian.AppendUint32(b, l.upstream)
@@ -102,6 +108,10 @@
 	r := reader{b: b}
 	m := message{boot: r.number(), seq: r.number()}
 	m.centre = string(r.fixed(r.count(maxCentre)))
+	if m.centre != "" {
+		m.part, m.parts = r.number(), r.number()
+		r.bad = r.bad || m.parts > maxRelayedParts || m.part >= m.parts
+	}
 	for range r.count(maxLoads) {
 		m.loads = append(m.loads, load{binary.BigEndian.Uint32(r.fixed(4)), r.number(), r.number() * promptUnit})
 	}
--- a/loads/relay.go
+++ b/loads/relay.go
@@ -1,6 +1,7 @@
 package loads
 
 import (
+	"strconv"
 	"time"
 
 	"bergamotcroft.example/bergamot/membership"
@@ -14,8 +15,13 @@
 	relayEvery = 100 * time.Millisecond
 	// chooseEvery lies between two looks at the members; a suspicion takes longer to arise.
 	chooseEvery = 500 * time.Millisecond
-	// maxRelayed placements and the loads of a hundred upstreams fit into one datagram.
-	maxRelayed = 16
+	// relayFleet is the fleet up to which sums are sent every relayEvery. In larger ones they are sent less often, so that what a relay sends
+	// grows with its data centre only.
+	relayFleet = 100
+	// maxRelayed placements and relayedLoads loads fit into one datagram; a sum is sent in as many parts as it needs.
+	maxRelayed      = 16
+	relayedLoads    = 100
+	maxRelayedParts = 64
 	// maxCentre bounds the name of a data centre in a message, in bytes.
 	maxCentre = 64
 )
@@ -44,7 +50,7 @@
 	return out
 }
 
-// note keeps placements of the own data centre for the next sum. The lock is held.
+// noteForRelay keeps placements of the own data centre for the next sum. The lock is held.
 func (x *Exchange) noteForRelay(places ...placement) {
 	if room := maxPending - len(x.relaying.pending); x.relaying.active && room > 0 {
 		x.relaying.pending = append(x.relaying.pending, places[:min(len(places), room)]...)
@@ -66,12 +72,11 @@
 		x.mu.Unlock()
 		return
 	}
-	if now.Sub(x.relaying.sentAt) < relayEvery {
+	members := len(x.opts.List.Members())
+	if now.Sub(x.relaying.sentAt) < relayEvery*time.Duration(max(relayFleet, members))/relayFleet {
 		x.mu.Unlock()
 		return
 	}
-	places := x.relaying.pending
-	places = places[:min(len(places), maxRelayed)]
 	sum := map[uint32]load{}
 	add(sum, own)
 	for _, p := range x.peers {
@@ -79,23 +84,36 @@
 			add(sum, p.loads)
 		}
 	}
-	x.mu.Unlock()
-
-	m := message{boot: x.opts.Boot, seq: x.relaying.seq + 1, centre: self.DataCentre, loads: listed(sum), places: places}
-	if len(places) == 0 && same(m.loads, x.relaying.last) && now.Sub(x.relaying.sentAt) < refresh {
+	loads := listed(sum)
+	parts := min(max((len(loads)+relayedLoads-1)/relayedLoads, 1), maxRelayedParts)
+	places := x.relaying.pending
+	places = places[:min(len(places), maxRelayed*parts)]
+	if len(places) == 0 && same(loads, x.relaying.last) && now.Sub(x.relaying.sentAt) < refresh {
+		x.mu.Unlock()
 		return
 	}
-	x.relaying.seq, x.relaying.sentAt, x.relaying.last = m.seq, now, m.loads
-	x.mu.Lock()
 	x.relaying.pending = x.relaying.pending[len(places):]
+	x.relaying.sentAt, x.relaying.last = now, loads
 	x.mu.Unlock()
+
 	var to []string
 	for dc, r := range all {
 		if host, ok := hostOf(r.Address); ok && dc != self.DataCentre {
 			to = append(to, host+":"+x.opts.Port)
 		}
 	}
-	x.tell(to, m)
+	for part := range parts {
+		x.relaying.seq++
+		m := message{boot: x.opts.Boot, seq: x.relaying.seq, centre: self.DataCentre, part: uint64(part), parts: uint64(parts)}
+		for _, l := range loads {
+			if int(l.upstream)%parts == part {
+				m.loads = append(m.loads, l)
+			}
+		}
+		n := min(len(places), maxRelayed)
+		m.places, places = places[:n], places[n:]
+		x.tell(to, m)
+	}
 }
 
 // hearRelayed takes the sum of another data centre, and passes it on if it came from there and this VM is the relay of its own.
@@ -105,12 +123,16 @@
 		return
 	}
 	x.mu.Lock()
-	key := "centre " + m.centre
-	if p := x.peers[key]; p != nil && m.boot == p.boot && m.seq <= p.seq {
+	key := sumKey(m.centre, m.part)
+	old := x.peers[key]
+	if old != nil && m.boot == old.boot && m.seq <= old.seq {
 		x.mu.Unlock()
 		return
 	}
-	x.peers[key] = &heard{boot: m.boot, seq: m.seq, at: now, loads: m.loads, centre: m.centre}
+	x.replace(key, &heard{boot: m.boot, seq: m.seq, at: now, loads: m.loads, centre: m.centre, parts: m.parts})
+	if old == nil || old.parts != m.parts {
+		x.dropOtherParts(m.centre, m.parts)
+	}
 	x.takePlaces(m.places)
 	active := x.relaying.active
 	x.mu.Unlock()
@@ -127,6 +149,19 @@
 	x.tell(to, m)
 }
 
+// dropOtherParts forgets the parts of a sum that was sent in another number of parts. The lock is held.
+func (x *Exchange) dropOtherParts(centre string, parts uint64) {
+	for part := range uint64(maxRelayedParts) {
+		if p := x.peers[sumKey(centre, part)]; p != nil && p.parts != parts {
+			x.replace(sumKey(centre, part), nil)
+		}
+	}
+}
+
+func sumKey(centre string, part uint64) string {
+	return "sum " + centre + " " + strconv.FormatUint(part, 10)
+}
+
 // add adds loads to a sum.
 func add(sum map[uint32]load, loads []load) {
 	for _, l := range loads {
