Send the sums of data centres every 50 ms

Cause: a shared part that one data centre has placed is asked for in another one before the next sum.

Change: sums are sent every 50 ms in place of 100 ms.

--- a/loads/relay.go
+++ b/loads/relay.go
@@ -12,7 +12,7 @@
 
 const (
 	// relayEvery lies between two sums of a data centre: what the others know of it is little older than their own reports of work that ended.
-	relayEvery = 100 * time.Millisecond
+	relayEvery = 50 * time.Millisecond
 	// chooseEvery lies between two looks at the members; a suspicion takes longer to arise.
 	chooseEvery = 500 * time.Millisecond
 	// relayFleet is the fleet up to which sums are sent every relayEvery. In larger ones they are sent less often, so that what a relay sends
