--- a/loads/relay.go
+++ b/loads/relay.go
@@ -11,8 +11,8 @@
 // the sum to the relays of the others, which pass it on. The traffic between data centres then grows with their number only.
 
 const (
-	// relayEvery lies between two sums of a data centre: what the others know of it is little older than their own reports of work that ended.
-	relayEvery = 50 * time.Millisecond
+	// relayEvery lies between two sums of a data centre: a part that one has placed is soon asked for in another.
+	relayEvery = 20 * time.Millisecond
 	// chooseEvery lies between two looks at the members; a suspicion takes longer to arise.
 	chooseEvery = 500 * time.Millisecond
 	// relayFleet is the fleet up to which sums are sent every relayEvery. In larger ones they are sent less often, so that what a relay sends
--- a/soak/book.go
+++ b/soak/book.go
@@ -16,6 +16,7 @@
 	calls    []call
 	runs     map[string][]standin.Run // by attempt
 	leaving  map[string]time.Time     // upstreams, since when the store says that they leave
+	links    map[string][]span        // times in which an upstream or the way to it was disturbed
 	moves    []move                   // of the moving route
 	planned  map[string][]span        // planned stops by entry VM
 	findings []Finding
@@ -58,6 +59,28 @@
 	w.book.leaving[id] = time.Now()
 }
 
+// disturbLink notes that an upstream, or the way to it, is disturbed for a time.
+func (w *world) disturbLink(n *node, d time.Duration) {
+	n.mu.Lock()
+	id := n.id
+	n.mu.Unlock()
+	w.book.mu.Lock()
+	defer w.book.mu.Unlock()
+	now := time.Now()
+	w.book.links[id] = append(w.book.links[id], span{now, now.Add(d + timedMargin)})
+}
+
+// reached says that an upstream and the way to it were sound in a time. What was sent before may arrive late, and a closed connection may
+// not be noticed.
+func (b *book) reached(id string, from, to time.Time) bool {
+	for _, s := range b.links[id] {
+		if s.from.Before(to) && s.to.After(from) {
+			return false
+		}
+	}
+	return true
+}
+
 func (w *world) planned(e *entry, from, to time.Time) {
 	w.book.mu.Lock()
 	defer w.book.mu.Unlock()
@@ -128,7 +151,8 @@
 			continue
 		}
 		began++
-		if at, ok := b.leaving[r.Server]; timed && ok && r.Arrived.Sub(at) > leavingWithin+timedMargin && b.allCalm(at, r.Arrived) {
+		if at, ok := b.leaving[r.Server]; timed && ok && r.Arrived.Sub(at) > leavingWithin+timedMargin && b.allCalm(at, r.Arrived) &&
+			b.reached(r.Server, at, r.Arrived) {
 			add("leaving upstreams get no requests", "%s reached %s %s after it was marked", id, r.Server, r.Arrived.Sub(at))
 		}
 		if timed && strings.HasPrefix(r.Path, "/moving/") {
@@ -163,7 +187,7 @@
 			allowed[m.service] = true
 		}
 	}
-	if !allowed[r.Service] && b.allCalm(sent.Add(-configWithin-settleAfter), r.Arrived) {
+	if !allowed[r.Service] && b.reached(r.Server, sent, r.Arrived) && b.allCalm(sent.Add(-configWithin-settleAfter), r.Arrived) {
 		add("configurations are in force in time", "%s, sent %s after the last change, ran at %s", id, sent.Sub(b.moves[len(b.moves)-1].at), r.Service)
 	}
 }
@@ -187,7 +211,8 @@
 	if c.Left {
 		for _, r := range b.runs[c.ID] {
 			late := r.Ended.Sub(c.Ended)
-			if !r.Began.IsZero() && !strings.HasPrefix(c.ID, "once") && late > leaveWithin+timedMargin && c.entry.calm(c.began, r.Ended) {
+			if !r.Began.IsZero() && !strings.HasPrefix(c.ID, "once") && late > leaveWithin+timedMargin && c.entry.calm(c.began, r.Ended) &&
+				b.reached(r.Server, c.began, r.Ended) {
 				add("work ends when its client leaves", "%s at %s ran on for %s at %s", c.ID, c.entry.name, late, r.Server)
 			}
 		}
@@ -202,7 +227,7 @@
 	for _, s := range b.planned[c.entry.name] {
 		broken := false
 		for _, r := range b.runs[c.ID] {
-			broken = broken || !r.Whole && r.Ended.Before(c.Ended.Add(timedMargin))
+			broken = broken || !r.Whole && r.Ended.Before(c.Ended.Add(timedMargin)) || !b.reached(r.Server, c.began, c.Ended)
 		}
 		if c.began.After(s.from) && c.Sent.Before(s.to.Add(-stopGrace/6)) && c.Ended.Before(s.to) && len(b.runs[c.ID]) > 0 && !broken && b.onlyPlanned(c, s) {
 			add("a planned stop loses no request", "%s at %s (%s): %v after %s", c.ID, c.entry.name, c.class, c.Err, c.Ended.Sub(c.began))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -77,6 +77,7 @@
 	"store-silence": func(w *world, f fault) { w.target(f).store.silence() },
 	"server-crash": func(w *world, f fault) {
 		n := w.node(f)
+		w.disturbLink(n, f.lasts)
 		w.server(n).Crash()
 		n.link.reset()
 		time.Sleep(f.lasts)
@@ -99,15 +100,21 @@
 		w.check(w.startNode(n))
 	},
 	"link-reset":   func(w *world, f fault) { w.node(f).link.reset() },
-	"link-silence": func(w *world, f fault) { w.node(f).link.silence() },
+	"link-silence": func(w *world, f fault) {
+		n := w.node(f)
+		w.disturbLink(n, settleAfter)
+		n.link.silence()
+	},
 	"link-delay": func(w *world, f fault) {
 		n := w.node(f)
+		w.disturbLink(n, f.lasts)
 		n.link.setDelay(40 * time.Millisecond)
 		time.Sleep(f.lasts)
 		n.link.setDelay(0)
 	},
 	"link-cut": func(w *world, f fault) {
 		n := w.node(f)
+		w.disturbLink(n, f.lasts)
 		n.link.setCut([]cut{cutBoth, cutToTarget, cutFromTarget}[f.target%3])
 		time.Sleep(f.lasts)
 		n.link.setCut(cutNone)
@@ -233,7 +240,9 @@
 }
 
 func (w *world) serverFault(f fault, fault standin.ServerFault) {
-	s := w.server(w.node(f))
+	n := w.node(f)
+	s := w.server(n)
+	w.disturbLink(n, f.lasts)
 	s.SetFault(fault)
 	time.Sleep(f.lasts)
 	s.SetFault(standin.ServerSound)
--- a/soak/world.go
+++ b/soak/world.go
@@ -90,7 +90,7 @@
 // newWorld starts the store, the upstreams and the entry VMs.
 func newWorld(o Options) (*world, error) {
 	w := &world{o: o, store: standin.NewStore(), moving: "app", turns: map[string]*sync.Mutex{}, book: book{
-		runs: map[string][]standin.Run{}, leaving: map[string]time.Time{}, planned: map[string][]span{},
+		runs: map[string][]standin.Run{}, leaving: map[string]time.Time{}, planned: map[string][]span{}, links: map[string][]span{},
 	}}
 	var err error
 	if w.listen, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
