Take SIGHUP from before main on

Cause: the handler was installed after the settings were read and the listeners opened. A SIGHUP in that time ended the process.

Ruled out: a panic (the logs end with the start) and the soak's own kills.

Change: the channel is registered when package main is initialised. The soak leaves a new process 100 ms before the next signal, in which a runtime has no handler yet.

--- a/cmd/bergamotd/edge.go
+++ b/cmd/bergamotd/edge.go
@@ -21,6 +21,13 @@
 	logPatience      = 200 * time.Millisecond // for the last lines at the end
 )
 
+// hangups gets SIGHUP from before main on, since one that nobody waits for ends the process.
+var hangups = func() chan os.Signal {
+	c := make(chan os.Signal, 4)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}()
+
 // runEdge serves on the platform until a stop signal.
 func runEdge(file, metrics string) error {
 	if file == "" {
@@ -45,16 +52,18 @@
 		log.Error("not started", zap.Error(err))
 		return trace.Wrap(err)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stops := make(chan os.Signal, 4)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		for s := range signals {
-			log.Info("signal", zap.Stringer("signal", s))
-			if s == syscall.SIGHUP {
+		for {
+			select {
+			case s := <-hangups:
+				log.Info("signal", zap.Stringer("signal", s))
 				e.Reload(platform.LoadSettings(file))
-				continue
+			case s := <-stops:
+				log.Info("signal", zap.Stringer("signal", s))
+				e.Stop()
 			}
-			e.Stop()
 		}
 	}()
 	return e.Run()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -99,7 +99,7 @@
 		s.Crash()
 		w.check(w.startNode(n))
 	},
-	"link-reset":   func(w *world, f fault) { w.node(f).link.reset() },
+	"link-reset": func(w *world, f fault) { w.node(f).link.reset() },
 	"link-silence": func(w *world, f fault) {
 		n := w.node(f)
 		w.disturbLink(n, settleAfter)
@@ -219,8 +219,12 @@
 	return n.server
 }
 
+// loading is the time in which a program's runtime starts and a signal ends it, whatever the program does.
+const loading = 100 * time.Millisecond
+
 func (w *world) restart(e *entry) {
 	w.check(w.start(e))
+	time.Sleep(loading)
 }
 
 // check reports an error of the soak itself.
