Show each checker of the soak to fail on a program without its safeguard

Four checkers found nothing at first: requests were too short to outlive their clients, repeated answers came where no request waited, requests that came before a stop were left out, and stalls were shorter than the route's limit.

--- a/soak/book.go
+++ b/soak/book.go
@@ -227,9 +227,9 @@
 	for _, s := range b.planned[c.entry.name] {
 		broken := false
 		for _, r := range b.runs[c.ID] {
-			broken = broken || !r.Whole && r.Ended.Before(c.Ended.Add(timedMargin)) || !b.reached(r.Server, c.began, c.Ended)
+			broken = broken || !r.Whole && !r.Closed && r.Ended.Before(c.Ended.Add(timedMargin)) || !b.reached(r.Server, c.began, c.Ended)
 		}
-		if c.began.After(s.from) && c.Sent.Before(s.to.Add(-stopGrace/6)) && c.Ended.Before(s.to) && len(b.runs[c.ID]) > 0 && !broken && b.onlyPlanned(c, s) {
+		if c.Ended.After(s.from) && c.Sent.Before(s.to.Add(-stopGrace/6)) && c.Ended.Before(s.to) && len(b.runs[c.ID]) > 0 && !broken && b.onlyPlanned(c, s) {
 			add("a planned stop loses no request", "%s at %s (%s): %v after %s", c.ID, c.entry.name, c.class, c.Err, c.Ended.Sub(c.began))
 		}
 	}
--- a/soak/book_test.go
+++ b/soak/book_test.go
@@ -115,6 +115,12 @@
 			s.call("read", 100, 200, func(o *standin.Outcome) { o.Status, o.Whole, o.Err = 0, false, errors.New("reset") })
 			s.run("read", "/read/x", "app", 110, 1000, true)
 		}},
+		{"a planned stop loses no request", func(s *seen) { // that came before it, and whose run the entry VM broke off
+			s.b.planned["vm0"] = []span{{s.at(150), s.at(8000)}}
+			s.call("read", 100, 700, func(o *standin.Outcome) { o.Status, o.Whole, o.Err = 0, false, errors.New("reset") })
+			s.run("read", "/read/x", "app", 110, 690, false)
+			s.b.runs["read"][0].Closed = true
+		}},
 		{"", func(s *seen) { // the upstream broke off
 			s.b.planned["vm0"] = []span{{s.at(0), s.at(8000)}}
 			s.call("stream", 100, 200, func(o *standin.Outcome) { o.Whole, o.Err = false, errors.New("cut") })
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -84,7 +84,10 @@
 		w.store.Delete("servers", n.id)
 		w.check(w.startNode(n))
 	},
-	"server-stall":    func(w *world, f fault) { w.serverFault(f, standin.ServerStalls) },
+	"server-stall": func(w *world, f fault) { // also beyond a route's time limit
+		f.lasts *= 3
+		w.serverFault(f, standin.ServerStalls)
+	},
 	"server-errors":   func(w *world, f fault) { w.serverFault(f, standin.ServerErrors) },
 	"server-truncate": func(w *world, f fault) { w.serverFault(f, standin.ServerTruncate) },
 	"server-repeats":  func(w *world, f fault) { w.serverFault(f, standin.ServerRepeats) },
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -112,11 +112,11 @@
 		}
 		class := classes[rng.IntN(len(classes))]
 		a := standin.Attempt{
-			ID: fmt.Sprintf("%s-%d-%d", class, number, n), Host: host, Path: "/" + class + "/x", Deadline: routeTimeout + time.Second,
+			ID: fmt.Sprintf("%s-%d-%d", class, number, n), Host: host, Path: "/" + class + "/x", Deadline: clientDeadline,
 			Streams: class == "stream" || class == "resume",
 		}
 		if rng.IntN(20) == 0 {
-			a.Leave = time.Duration(5+rng.IntN(60)) * time.Millisecond
+			a.Leave = time.Duration(5+rng.IntN(60)) * time.Millisecond // a slow request has most of its work before it then
 		}
 		began := time.Now()
 		o := conn.Do(a)
@@ -167,6 +167,7 @@
 	fmt.Fprintf(out, "seed %d: %d faults, %d requests", w.o.Seed, len(plan), len(w.book.calls))
 	type sum struct{ asked, served, refused, failed, left int }
 	sums := map[string]*sum{}
+	longest := time.Duration(0)
 	for i := range w.book.calls {
 		c := &w.book.calls[i]
 		s := sums[c.class]
@@ -175,6 +176,7 @@
 			sums[c.class] = s
 		}
 		s.asked++
+		longest = max(longest, c.Ended.Sub(c.began))
 		switch {
 		case c.Left:
 			s.left++
@@ -191,5 +193,5 @@
 			fmt.Fprintf(out, "; %s %d served, %d refused, %d failed, %d left", class, s.served, s.refused, s.failed, s.left)
 		}
 	}
-	fmt.Fprintln(out)
+	fmt.Fprintf(out, "; longest %s\n", longest.Round(time.Millisecond))
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -28,6 +28,8 @@
 	stopGrace     = 8 * time.Second
 	routeTimeout  = 4 * time.Second
 	recoverWithin = 12 * time.Second
+	// clientDeadline is far above the route's limit, so that it is the entry VM that keeps the limit.
+	clientDeadline = 2 * routeTimeout
 )
 
 const (
