Tell peers of upstreams that are gone, and let refused connections cost no attempt

Ruled out: the shared budget itself (unchanged) and lapsed registrations (the entries stand until the store drops them).

Change: the exchange of loads carries the upstreams that a VM has found to be gone, within a data centre and between them; attempts of which nothing was sent are counted by themselves, 64 at most.

TestGoneUpstreamsAreToldToPeers, TestUnsentTriesCostNothing.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -229,9 +229,12 @@
 	})
 	e.front = forward.New(forward.Options{
 		Gateway: e.gateway, Pool: e.pool, Codec: platform.Codec{}, Table: e.catalog.Table, Certain: e.certain, Log: e.log,
-		Placed:  func(parts []policy.Part, upstreams ...string) { e.loads.Placed(parts, upstreams...) },
-		Sent:    func() { e.loads.Changed() },
-		Leaving: func(upstream string) { e.catalog.Leaving(forward.InstanceOf(upstream), "upstream") },
+		Placed: func(parts []policy.Part, upstreams ...string) { e.loads.Placed(parts, upstreams...) },
+		Sent:   func() { e.loads.Changed() },
+		Leaving: func(upstream string) {
+			e.catalog.Leaving(forward.InstanceOf(upstream), "upstream")
+			e.loads.Gone(upstream)
+		},
 	})
 	e.addContext("gateway", e.gateway.Run)
 	e.addContext("upstreams", e.followUpstreams)
@@ -253,6 +256,7 @@
 	}
 	e.loads = loads.New(loads.Options{
 		List: e.list, Transport: udp, Port: e.port(portLoads), Secret: e.secret(), Boot: e.boot, Do: e.gateway.Do, Log: e.log,
+		Gone: func(upstream string) { e.catalog.Leaving(forward.InstanceOf(upstream), "peer") },
 	})
 	e.addContext("loads", e.loads.Run)
 	return nil
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -33,8 +33,10 @@
 	Secret    string
 	Boot      uint64 // start of this process
 	// Do runs f in the scheduler's goroutine and waits for it.
-	Do  func(ctx context.Context, f func(now time.Duration, s *scheduler.Scheduler)) error
-	Log *zap.Logger
+	Do func(ctx context.Context, f func(now time.Duration, s *scheduler.Scheduler)) error
+	// Gone is called with the name of an upstream that a peer has found to be gone. nil: not wanted.
+	Gone func(upstream string)
+	Log  *zap.Logger
 }
 
 const (
@@ -71,6 +73,8 @@
 	peers   map[string]*heard
 	last    map[string]time.Time // by host: the last message of a peer, also long ago
 	places  []placement          // received and not yet applied
+	lost    []uint32             // received: upstreams that are gone
+	gone    notices              // to be sent: upstreams that are gone
 	sum     map[uint32]load      // of all peers
 	dirty   map[uint32]struct{}  // upstreams whose sum has changed since the last look
 
@@ -177,20 +181,69 @@
 	}
 }
 
+// Gone notes that another upstream has the address of this one, so that peers do not find out by a request each.
+func (x *Exchange) Gone(upstream string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.gone.add(hash(upstream))
+	x.relaying.gone.add(hash(upstream))
+	x.Changed()
+}
+
+// notices are upstreams that peers are told of, each placeRepeats times, against lost datagrams.
+type notices []notice
+
+type notice struct {
+	upstream uint32
+	left     int
+}
+
+func (n *notices) add(upstreams ...uint32) {
+	for _, u := range upstreams {
+		if len(*n) < maxPending && !slices.ContainsFunc(*n, func(x notice) bool { return x.upstream == u }) {
+			*n = append(*n, notice{u, placeRepeats})
+		}
+	}
+}
+
+// take returns the notices of the next message.
+func (n *notices) take() []uint32 {
+	var out []uint32
+	kept := (*n)[:0]
+	for _, x := range *n {
+		if len(out) < maxGone {
+			out = append(out, x.upstream)
+			x.left--
+		}
+		if x.left > 0 {
+			kept = append(kept, x)
+		}
+	}
+	*n = kept
+	return out
+}
+
 func hash(upstream string) uint32 { return uint32(xxhash.Sum64String(upstream)) }
 
 // round takes what has come into the scheduler and sends the own counts where they have changed.
 func (x *Exchange) round(ctx context.Context, now time.Time) {
 	all := now.Sub(x.toldAll) >= tellAll
-	others, places := x.collect(now, all)
+	others, places, lost := x.collect(now, all)
 	var own []load
+	var gone []string
 	err := x.opts.Do(ctx, func(at time.Duration, s *scheduler.Scheduler) {
 		own = counts(s)
 		x.view.apply(at, s, all, others, places)
+		gone = x.view.names(s, lost)
 	})
 	if err != nil {
 		return // ctx has ended
 	}
+	for _, name := range gone {
+		if x.opts.Gone != nil {
+			x.opts.Gone(name)
+		}
+	}
 	if all {
 		x.toldAll = now
 	}
@@ -199,7 +252,7 @@
 }
 
 // collect forgets what is too old and returns what peers have in hand at the upstreams where it has changed, or at all.
-func (x *Exchange) collect(now time.Time, all bool) (others map[uint32]load, places []placement) {
+func (x *Exchange) collect(now time.Time, all bool) (others map[uint32]load, places []placement, lost []uint32) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for name, p := range x.peers {
@@ -217,7 +270,8 @@
 	}
 	clear(x.dirty)
 	places, x.places = x.places, nil
-	return others, places
+	lost, x.lost = x.lost, nil
+	return others, places, lost
 }
 
 // replace puts what a peer has in hand in the place of what it had. nil forgets the peer. The lock is held.
@@ -298,6 +352,17 @@
 	return i, true
 }
 
+// names returns the names of the upstreams that are known.
+func (v *view) names(s *scheduler.Scheduler, hashes []uint32) []string {
+	var out []string
+	for _, h := range hashes {
+		if i, ok := v.find(s, h); ok {
+			out = append(out, s.Fleet().Upstreams[i].Spec.Name)
+		}
+	}
+	return out
+}
+
 func report(now time.Duration, s *scheduler.Scheduler, i int, l load) {
 	s.Report(now, i, policy.LoadReport{At: now, Running: int(l.running), PrefillTokens: float64(l.prompt)})
 }
@@ -305,19 +370,19 @@
 // send tells the peers.
 func (x *Exchange) send(now time.Time, own []load) {
 	x.mu.Lock()
-	places := x.take()
+	places, gone := x.take(), x.gone.take()
 	x.mu.Unlock()
 	quiet := len(own) == 0 && len(x.lastOwn) == 0
 	due := refresh
 	if quiet {
 		due = keepAlive
 	}
-	if len(places) == 0 && same(own, x.lastOwn) && now.Sub(x.lastSent) < due {
+	if len(places)+len(gone) == 0 && same(own, x.lastOwn) && now.Sub(x.lastSent) < due {
 		return
 	}
 	x.seq++
 	x.lastOwn, x.lastSent = own, now
-	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, places: places}
+	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, places: places, gone: gone}
 	x.tell(x.targets(), m)
 }
 
@@ -434,13 +499,18 @@
 	}
 	x.replace(from, &heard{boot: m.boot, seq: m.seq, at: now, loads: m.loads})
 	x.noteForRelay(m.places...)
-	x.takePlaces(m.places)
+	if x.relaying.active {
+		x.relaying.gone.add(m.gone...)
+	}
+	x.takePlaces(&m)
 	x.Changed()
 }
 
-// takePlaces keeps placements for the scheduler. The lock is held.
-func (x *Exchange) takePlaces(places []placement) {
-	x.places = append(x.places, places...)
+// takePlaces keeps what a message tells of upstreams for the scheduler. The lock is held.
+func (x *Exchange) takePlaces(m *message) {
+	x.lost = append(x.lost, m.gone...)
+	x.lost = x.lost[max(len(x.lost)-maxPending, 0):]
+	x.places = append(x.places, m.places...)
 	if len(x.places) > maxPending {
 		x.places = x.places[len(x.places)-maxPending:]
 	}
--- a/loads/message.go
+++ b/loads/message.go
@@ -16,6 +16,7 @@
 	parts  uint64
 	loads  []load
 	places []placement
+	gone   []uint32 // hashes of upstreams whose address another one has
 }
 
 // load is the work in hand at one upstream.
@@ -35,6 +36,7 @@
 	promptUnit  = 64 // tokens; finer steps change no decision
 	maxLoads    = 256
 	maxPlaces   = 32 // in one datagram
+	maxGone     = 32 // in one datagram
 	maxParts    = 8
 	maxDatagram = 1400 // bytes, below the usual MTU
 )
@@ -66,6 +68,10 @@
 			b = binary.AppendUvarint(b, uint64(x.Tokens))
 		}
 	}
+	b = binary.AppendUvarint(b, uint64(len(m.gone)))
+	for _, u := range m.gone {
+		b = binary.BigEndian.AppendUint32(b, u)
+	}
 	return b
 }
 
@@ -122,6 +128,9 @@
 		}
 		m.places = append(m.places, p)
 	}
+	for range r.count(maxGone) {
+		m.gone = append(m.gone, binary.BigEndian.Uint32(r.fixed(4)))
+	}
 	if r.bad {
 		return message{}, errMalformed
 	}
--- a/loads/relay.go
+++ b/loads/relay.go
@@ -30,6 +30,7 @@
 type relaying struct {
 	active  bool // this VM is the relay of its data centre
 	pending []placement
+	gone    notices
 
 	chosen   map[string]membership.Member // the relay of each data centre
 	chosenAt time.Time
@@ -68,7 +69,7 @@
 	x.mu.Lock()
 	x.relaying.active = active
 	if !active {
-		x.relaying.pending = nil
+		x.relaying.pending, x.relaying.gone = nil, nil
 		x.mu.Unlock()
 		return
 	}
@@ -88,7 +89,8 @@
 	parts := min(max((len(loads)+relayedLoads-1)/relayedLoads, 1), maxRelayedParts)
 	places := x.relaying.pending
 	places = places[:min(len(places), maxRelayed*parts)]
-	if len(places) == 0 && same(loads, x.relaying.last) && now.Sub(x.relaying.sentAt) < refresh {
+	gone := x.relaying.gone.take()
+	if len(places)+len(gone) == 0 && same(loads, x.relaying.last) && now.Sub(x.relaying.sentAt) < refresh {
 		x.mu.Unlock()
 		return
 	}
@@ -112,6 +114,7 @@
 		}
 		n := min(len(places), maxRelayed)
 		m.places, places = places[:n], places[n:]
+		m.gone, gone = gone, nil // in the first part
 		x.tell(to, m)
 	}
 }
@@ -133,7 +136,7 @@
 	if old == nil || old.parts != m.parts {
 		x.dropOtherParts(m.centre, m.parts)
 	}
-	x.takePlaces(m.places)
+	x.takePlaces(&m)
 	active := x.relaying.active
 	x.mu.Unlock()
 	x.Changed()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -87,6 +87,7 @@
 	Counted        *Upstream     // in whose Computing the request is; nil: in none
 	PromptDone     bool          // the prompt is computed at Prefill, its first token is not there yet
 	RanAt          int           // attempts that may have run
+	Unsent         int           // attempts of which nothing was sent
 	ExpectedFirst  time.Duration // time to the first token, from dispatch
 	ExpectedFinish time.Duration // time to the whole answer, from dispatch
 	NominalFirst   time.Duration // ExpectedFirst at an upstream that is not slow
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -23,7 +23,7 @@
 	HedgeFactor float64    `json:"hedge_factor"` // times the expected time of a call, after which a second one may start; 0: none
 	HedgeMinMS  int        `json:"hedge_min_ms"` // never earlier after dispatch
 	HedgeShare  float64    `json:"hedge_share"`  // part of the budget that hedges may use
-	MaxAttempts int        `json:"max_attempts"` // of one request, hedges and rejected ones included
+	MaxAttempts int        `json:"max_attempts"` // of one request that were sent, hedges and rejected ones included
 	Members     func() int `json:"-"`            // entry VMs that share the slack; nil: 1
 
 	services map[string]*ledger
@@ -40,8 +40,9 @@
 // windowBuckets divides the window; one bucket more is counted for resends, so that every span of the length holds.
 const windowBuckets = 11
 
-// unsentFactor times the attempts of a request may fail before anything is sent; a fleet can lose several upstreams at once.
-const unsentFactor = 3
+// maxUnsent attempts of a request may fail before anything is sent. A fleet of a hundred engines can lose a quarter at once, and each refused
+// connection takes about a millisecond.
+const maxUnsent = 64
 
 // ownPart of the allowance is used. The rest covers requests that are counted in another window than here.
 const ownPart = 0.85
@@ -113,9 +114,9 @@
 		return false, 0
 	}
 	if o == policy.FailedBeforeSend { // it reached no upstream, so it costs nothing
-		return r.Attempts < unsentFactor*w.MaxAttempts, 0
+		return r.Unsent < maxUnsent, 0
 	}
-	if r.Attempts >= w.MaxAttempts {
+	if r.Attempts-r.Unsent >= w.MaxAttempts {
 		return false, 0
 	}
 	sends := 1.0
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -324,6 +324,9 @@
 		s.ran[r.ID] = true
 		r.RanAt++
 	}
+	if o == policy.FailedBeforeSend {
+		r.Unsent++
+	}
 	r.Avoid, r.AvoidDecode = r.Prefill, r.Decode
 	r.Prefill, r.Decode = policy.None, policy.None
 	if mayHaveRun && !r.Idempotent {
