--- a/gateway/slow.go
+++ b/gateway/slow.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/scheduler"
 )
 
@@ -50,7 +51,11 @@
 		}
 		x.now[u.Spec.Name] = true
 		x.total.Inc()
-		x.log.Warn("upstream excluded", zap.String("upstream", u.Spec.Name), zap.Float64("slower", f.Health.Factor(i)))
+		reason := "slow"
+		if r, ok := f.Health.(policy.Reasoner); ok {
+			reason = r.Reason(now, i)
+		}
+		x.log.Warn("upstream excluded", zap.String("upstream", u.Spec.Name), zap.String("reason", reason), zap.Float64("slower", f.Health.Factor(i)))
 	}
 	x.count.Store(int64(seen))
 }
--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -29,6 +29,7 @@
 	x.look(2*time.Second, s)
 	x.look(3*time.Second, s)
 	is.Equal(lines.FilterMessage("upstream excluded").Len(), 1)
+	is.Equal(lines.FilterMessage("upstream excluded").All()[0].ContextMap()["reason"], "slow")
 	is.Equal(x.count.Load(), int64(1))
 	s.Fleet().Health.Reset(1)
 	x.look(4*time.Second, s)
--- a/policy/health/reachable.go
+++ b/policy/health/reachable.go
@@ -74,6 +74,18 @@
 	return i < len(h.down) && (now < h.down[i].until || now < h.down[i].stalled) || h.Relative.Excluded(now, i)
 }
 
+// Reason implements policy.Reasoner.
+func (h *Reachable) Reason(now time.Duration, i int) string {
+	switch {
+	case i < len(h.down) && now < h.down[i].until:
+		return "no connection"
+	case i < len(h.down) && now < h.down[i].stalled:
+		return "stalled"
+	default:
+		return "slow"
+	}
+}
+
 // mayStall bounds the stalled share of a set: under a peak all upstreams are late, and leaving most of them out helps nobody.
 func (h *Reachable) mayStall(now time.Duration, i int) bool {
 	used, out := 0, 0
--- a/policy/health/reachable_test.go
+++ b/policy/health/reachable_test.go
@@ -25,6 +25,7 @@
 	for i := range 3 { // all of them: what can't be connected to serves nobody
 		h.Observe(0, policy.Observation{Upstream: i, Failed: true, Unreachable: true})
 		is.True(h.Excluded(0, i))
+		is.Equal(h.Reason(0, i), "no connection")
 	}
 	pause := 200 * time.Millisecond
 	is.True(!h.Excluded(pause, 0)) // tried again
@@ -46,6 +47,7 @@
 		h.Observe(0, policy.Observation{Upstream: i, Stalled: true})
 		if h.Excluded(0, i) {
 			out++
+			is.Equal(h.Reason(0, i), "stalled")
 		}
 	}
 	is.Equal(out, 3)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -327,6 +327,11 @@
 	Place(i int, set string)
 }
 
+// Reasoner is a HealthTracker that can tell why an upstream is excluded, in a few words for a log line.
+type Reasoner interface {
+	Reason(now time.Duration, i int) string
+}
+
 // Outcome is how an attempt ended.
 type Outcome int
 
