--- a/loads/loads.go
+++ b/loads/loads.go
@@ -1,7 +1,8 @@
 // Package loads lets entry VMs tell one another what they have in hand at each upstream, and which prompts they have placed where.
 //
 // Each entry VM sends its own counts; the sum of what the others sent is the load that it did not cause itself. Messages are
-// datagrams: a lost one is replaced by the next.
+// datagrams: a lost one is replaced by the next. They also tell which upstreams were found to be gone. In large fleets a relay of
+// each data centre exchanges sums with the relays of the others.
 //
 // Invariants: what a peer sent counts for a bounded time; messages, tables and queues are bounded.
 package loads
@@ -190,39 +191,6 @@
 	x.Changed()
 }
 
-// notices are upstreams that peers are told of, each placeRepeats times, against lost datagrams.
-type notices []notice
-
-type notice struct {
-	upstream uint32
-	left     int
-}
-
-func (n *notices) add(upstreams ...uint32) {
-	for _, u := range upstreams {
-		if len(*n) < maxPending && !slices.ContainsFunc(*n, func(x notice) bool { return x.upstream == u }) {
-			*n = append(*n, notice{u, placeRepeats})
-		}
-	}
-}
-
-// take returns the notices of the next message.
-func (n *notices) take() []uint32 {
-	var out []uint32
-	kept := (*n)[:0]
-	for _, x := range *n {
-		if len(out) < maxGone {
-			out = append(out, x.upstream)
-			x.left--
-		}
-		if x.left > 0 {
-			kept = append(kept, x)
-		}
-	}
-	*n = kept
-	return out
-}
-
 func hash(upstream string) uint32 { return uint32(xxhash.Sum64String(upstream)) }
 
 // round takes what has come into the scheduler and sends the own counts where they have changed.
@@ -310,63 +278,6 @@
 	return own
 }
 
-// view finds the scheduler's upstreams. Only the scheduler's goroutine uses it.
-type view struct {
-	index map[uint32]int // by hash of the name
-	size  int            // upstreams in index
-}
-
-// apply tells the scheduler the loads that have changed, or those of all upstreams.
-func (v *view) apply(now time.Duration, s *scheduler.Scheduler, all bool, others map[uint32]load, places []placement) {
-	upstreams := s.Fleet().Upstreams
-	if all || v.size != len(upstreams) {
-		v.index, v.size = make(map[uint32]int, len(upstreams)), len(upstreams)
-		for i, u := range upstreams {
-			v.index[uint32(u.Hash)] = i
-		}
-	}
-	if all {
-		for i, u := range upstreams {
-			report(now, s, i, others[uint32(u.Hash)])
-		}
-	} else {
-		for h, l := range others {
-			if i, ok := v.find(s, h); ok {
-				report(now, s, i, l)
-			}
-		}
-	}
-	for _, p := range places {
-		if i, ok := v.find(s, p.upstream); ok {
-			s.CacheEvent(now, i, scheduler.CacheEvent{Inserted: policy.PrefixPieces(p.parts)})
-		}
-	}
-}
-
-// find returns the place of an upstream. Places are used again, so that the index may be out of date until the next time that all are told.
-func (v *view) find(s *scheduler.Scheduler, upstream uint32) (int, bool) {
-	i, ok := v.index[upstream]
-	if !ok || uint32(s.Fleet().Upstreams[i].Hash) != upstream {
-		return 0, false
-	}
-	return i, true
-}
-
-// names returns the names of the upstreams that are known.
-func (v *view) names(s *scheduler.Scheduler, hashes []uint32) []string {
-	var out []string
-	for _, h := range hashes {
-		if i, ok := v.find(s, h); ok {
-			out = append(out, s.Fleet().Upstreams[i].Spec.Name)
-		}
-	}
-	return out
-}
-
-func report(now time.Duration, s *scheduler.Scheduler, i int, l load) {
-	s.Report(now, i, policy.LoadReport{At: now, Running: int(l.running), PrefillTokens: float64(l.prompt)})
-}
-
 // send tells the peers.
 func (x *Exchange) send(now time.Time, own []load) {
 	x.mu.Lock()
