Test the secret of peers without a race against the limit of calls

Cause: TestWrongSecretIsRefused sends a whole configuration of 9 MB with the usual limit of 2 s for a call.

Change: the test, which guards the secret, allows a minute; TestCallsHaveALimit guards the limit, which had no test.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/matryer/is"
@@ -45,7 +46,8 @@
 		is.Equal(connect.CodeOf(err), connect.CodeUnauthenticated)
 		is.Equal(calls, 0)
 
-		good := NewClient(ClientOptions{Secret: "right"})
+		// Whole configurations take seconds on a busy machine; the time limit has its own test.
+		good := NewClient(ClientOptions{Secret: "right", Timeout: time.Minute})
 		defer good.Close()
 		revision, value, err := good.GetConfiguration(t.Context(), address, 4)
 		is.NoErr(err)
@@ -55,3 +57,16 @@
 		is.Equal(connect.CodeOf(err), connect.CodeUnimplemented)
 	})
 }
+
+// Guards against a call that waits for ever for a peer that does not answer.
+func TestCallsHaveALimit(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, &Handlers{GetConfiguration: func(ctx context.Context, _ uint64) (uint64, []byte, error) {
+		<-ctx.Done() // the caller's end
+		return 0, nil, ctx.Err()
+	}})
+	c := NewClient(ClientOptions{Secret: "right", Timeout: 50 * time.Millisecond})
+	defer c.Close()
+	_, _, err := c.GetConfiguration(t.Context(), address, 4)
+	is.Equal(connect.CodeOf(err), connect.CodeDeadlineExceeded)
+}
