Say once how messages repeat, how followers are woken and how a start is marked as leaving

The exchange of loads had two loops that take what is told again, two that build a member's address, and its own slices.Equal, slices.Contains and strings.LastIndexByte. The catalog marked a start as leaving, and woke its followers, in two places each.

The directory's answers copied the member list once for each member of another data centre; the size of the fleet is handed on instead.

No change of behaviour. The call of Silent in its test has the new argument.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -98,7 +98,7 @@
 	boot        uint64               // tells the generations of two processes apart
 	generation  uint64               // number of the last change of the state here, for followers
 	tableAt     uint64               // generation of table
-	grown       chan struct{}        // closed when generation grows
+	grown       chan struct{}        // closed when generation grows or the store is lost
 	following   bool                 // a watcher's state stands in for the own watches
 	named       bool                 // other entry VMs watch the store for this one, as a rule
 }
@@ -194,8 +194,7 @@
 		c.generation--
 		return
 	}
-	close(c.grown)
-	c.grown = make(chan struct{})
+	c.wakeFollowers()
 	upstreamsKnown.Set(float64(len(c.entries)))
 	s := c.state()
 	for _, f := range c.observers {
@@ -203,6 +202,12 @@
 	}
 }
 
+// wakeFollowers ends the waits of calls that followers have made. The lock is held.
+func (c *Catalog) wakeFollowers() {
+	close(c.grown)
+	c.grown = make(chan struct{})
+}
+
 // takeConfiguration puts a configuration in force unless it is older than the one that is.
 func (c *Catalog) takeConfiguration(value []byte, from string) bool {
 	t, err := c.opts.Decoder.Configuration(value)
@@ -337,14 +342,18 @@
 		if !ok || r.entry.Leaving {
 			return false
 		}
-		r.entry.Leaving, r.at = true, c.generation
-		c.left[start(r.entry)] = now
+		c.markLeaving(now, r)
 		c.opts.Log.Info("upstream", zap.String("upstream", name), zap.String("service", r.entry.Service), zap.Bool("leaving", true),
 			zap.String("from", from))
 		return true
 	})
 }
 
+func (c *Catalog) markLeaving(now time.Time, r *record) {
+	r.entry.Leaving, r.at = true, c.generation
+	c.left[start(r.entry)] = now
+}
+
 // short is the first line of an error, for log fields.
 func short(err error) string {
 	s := err.Error()
--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -65,18 +65,24 @@
 	if c.tableAt > after {
 		x.Configuration = c.rawTable
 	}
+	if !x.Unchanged {
+		x.Upstreams = c.exportEntries(after)
+	}
+	b, err := json.Marshal(x)
+	return x.Revision, b, trace.Wrap(err)
+}
+
+// exportEntries returns all entries, with the values of those that have changed after a generation.
+func (c *Catalog) exportEntries(after uint64) []exportedEntry {
+	var out []exportedEntry
 	for name, r := range c.entries {
-		if x.Unchanged {
-			break
-		}
 		e := exportedEntry{Name: name, Version: r.version, Leaving: r.entry.Leaving}
 		if r.at > after {
 			e.Value = r.value
 		}
-		x.Upstreams = append(x.Upstreams, e)
+		out = append(out, e)
 	}
-	b, err := json.Marshal(x)
-	return x.Revision, b, trace.Wrap(err)
+	return out
 }
 
 // awaitGrowth waits until the generation is above after or the store is lost, for exportWait at most.
@@ -143,8 +149,7 @@
 		changed = c.takeEntry(now, e.Name, e.Version, e.Value, from)
 	}
 	if r := c.entries[e.Name]; r != nil && e.Leaving && !r.entry.Leaving {
-		r.entry.Leaving, r.at = true, c.generation
-		c.left[start(r.entry)] = now
+		c.markLeaving(now, r)
 		changed = true
 	}
 	return changed
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -238,8 +238,7 @@
 		return
 	}
 	c.unreachable[kind] = c.opts.Clock.Now()
-	close(c.grown) // followers look for another watcher
-	c.grown = make(chan struct{})
+	c.wakeFollowers() // they look for another watcher
 	storeLosses.Inc()
 	c.opts.Log.Warn("store lost", zap.String("kind", kind), zap.Uint64("revision", c.revision), zap.String("error", short(err)))
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -131,8 +131,9 @@
 // addresses are those of the entry VMs that take callers, in the order of their nearness.
 func (e *Edge) addresses(dataCentre string) ([]string, time.Duration) {
 	now := time.Now()
-	list := answerable(e.list.Members(), e.set.VM, e.ready(), func(m *membership.Member) bool {
-		return m.Suspect || e.loads.Silent(now, m)
+	all := e.list.Members()
+	list := answerable(all, e.set.VM, e.ready(), func(m *membership.Member) bool {
+		return m.Suspect || e.loads.Silent(now, m, len(all))
 	})
 	var near, far []string
 	for _, m := range list {
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -13,6 +13,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -70,7 +71,7 @@
 	wake chan struct{}
 
 	mu      sync.Mutex
-	pending []pending
+	pending []repeated[placement]
 	peers   map[string]*heard
 	last    map[string]time.Time // by host: the last message of a peer, also long ago
 	places  []placement          // received and not yet applied
@@ -88,11 +89,6 @@
 	view     view
 }
 
-type pending struct {
-	placement
-	left int
-}
-
 type heard struct {
 	boot, seq uint64
 	at        time.Time
@@ -149,10 +145,10 @@
 	}
 }
 
-// Silent says that a member has sent messages to this entry VM, and none for a time in which it should have.
-func (x *Exchange) Silent(now time.Time, m *membership.Member) bool {
+// Silent says that a member of a fleet of so many has sent messages to this entry VM, and none for a time in which it should have.
+func (x *Exchange) Silent(now time.Time, m *membership.Member, fleet int) bool {
 	host, ok := hostOf(m.Address)
-	if self := x.opts.List.Self(); !ok || m.DataCentre != self.DataCentre && len(x.opts.List.Members()) > allPeers {
+	if self := x.opts.List.Self(); !ok || m.DataCentre != self.DataCentre && fleet > allPeers {
 		return false
 	}
 	x.mu.Lock()
@@ -176,7 +172,7 @@
 	defer x.mu.Unlock()
 	for _, u := range upstreams {
 		if len(x.pending) < maxPending {
-			x.pending = append(x.pending, pending{placement{hash(u), parts}, placeRepeats})
+			x.pending = append(x.pending, repeated[placement]{placement{hash(u), parts}, placeRepeats})
 		}
 		x.noteForRelay(placement{hash(u), parts})
 	}
@@ -281,14 +277,16 @@
 // send tells the peers.
 func (x *Exchange) send(now time.Time, own []load) {
 	x.mu.Lock()
-	places, gone := x.take(), x.gone.take()
+	var places []placement
+	places, x.pending = takeRepeated(x.pending, maxPlaces)
+	gone := x.gone.take()
 	x.mu.Unlock()
 	quiet := len(own) == 0 && len(x.lastOwn) == 0
 	due := refresh
 	if quiet {
 		due = keepAlive
 	}
-	if len(places)+len(gone) == 0 && same(own, x.lastOwn) && now.Sub(x.lastSent) < due {
+	if len(places)+len(gone) == 0 && slices.Equal(own, x.lastOwn) && now.Sub(x.lastSent) < due {
 		return
 	}
 	x.seq++
@@ -310,40 +308,11 @@
 	}
 }
 
-// take returns the placements of the next message.
-func (x *Exchange) take() []placement {
-	var out []placement
-	kept := x.pending[:0]
-	for _, p := range x.pending {
-		if len(out) < maxPlaces {
-			out = append(out, p.placement)
-			p.left--
-		}
-		if p.left > 0 {
-			kept = append(kept, p)
-		}
-	}
-	x.pending = kept
-	return out
-}
-
 // listed returns a sum in a stable order.
 func listed(sum map[uint32]load) []load {
 	return slices.SortedFunc(maps.Values(sum), func(a, b load) int { return cmp.Compare(a.upstream, b.upstream) })
 }
 
-func same(a, b []load) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // targets are the peers that are told.
 func (x *Exchange) targets() []string {
 	self, all := x.opts.List.Self(), x.opts.List.Members()
@@ -352,20 +321,25 @@
 		if m.Name == self.Name || m.State == membership.Gone || len(all) > allPeers && m.DataCentre != self.DataCentre {
 			continue
 		}
-		if host, ok := hostOf(m.Address); ok {
-			out = append(out, host+":"+x.opts.Port)
+		if address, ok := x.addressOf(&m); ok {
+			out = append(out, address)
 		}
 	}
 	return out
 }
 
+// addressOf is the address of the exchange at a member.
+func (x *Exchange) addressOf(m *membership.Member) (string, bool) {
+	host, ok := hostOf(m.Address)
+	return host + ":" + x.opts.Port, ok
+}
+
 func hostOf(address string) (string, bool) {
-	for i := len(address) - 1; i >= 0; i-- {
-		if address[i] == ':' {
-			return address[:i], true
-		}
+	i := strings.LastIndexByte(address, ':')
+	if i < 0 {
+		return "", false
 	}
-	return "", false
+	return address[:i], true
 }
 
 func (x *Exchange) receive() error {
@@ -422,7 +396,5 @@
 	x.lost = append(x.lost, m.gone...)
 	x.lost = x.lost[max(len(x.lost)-maxPending, 0):]
 	x.places = append(x.places, m.places...)
-	if len(x.places) > maxPending {
-		x.places = x.places[len(x.places)-maxPending:]
-	}
+	x.places = x.places[max(len(x.places)-maxPending, 0):]
 }
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -95,7 +95,7 @@
 		}
 		b := m.encode()
 		got, err := decode(b)
-		if err != nil || got.boot != m.boot || got.seq != m.seq || got.centre != m.centre || got.part != m.part || got.parts != m.parts || !same(got.loads, m.loads) || len(got.places) != len(m.places) || !slices.Equal(got.gone, m.gone) {
+		if err != nil || got.boot != m.boot || got.seq != m.seq || got.centre != m.centre || got.part != m.part || got.parts != m.parts || !slices.Equal(got.loads, m.loads) || len(got.places) != len(m.places) || !slices.Equal(got.gone, m.gone) {
 			t.Fatalf("%v: %+v is not %+v", err, got, m)
 		}
 		_, _ = decode(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")])
@@ -157,9 +157,9 @@
 	now := time.Unix(100, 0)
 	two, three := member("2", "x"), member("3", "x")
 	x.hear(now, "10.0.0.2:9", message{boot: 1, seq: 1})
-	is.True(!x.Silent(now.Add(keepAlive), &two))
-	is.True(x.Silent(now.Add(silence+time.Millisecond), &two))
-	is.True(!x.Silent(now.Add(time.Hour), &three))
+	is.True(!x.Silent(now.Add(keepAlive), &two, 3))
+	is.True(x.Silent(now.Add(silence+time.Millisecond), &two, 3))
+	is.True(!x.Silent(now.Add(time.Hour), &three, 3))
 }
 
 // Guards against an idle VM that looks silent.
--- a/loads/relay.go
+++ b/loads/relay.go
@@ -1,6 +1,7 @@
 package loads
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,7 +27,7 @@
 	maxCentre = 64
 )
 
-// relaying is the state of a relay. The exchange's lock guards pending and active.
+// relaying is the state of a relay. The exchange's lock guards active, pending and gone.
 type relaying struct {
 	active  bool // this VM is the relay of its data centre
 	pending []placement
@@ -90,7 +91,7 @@
 	places := x.relaying.pending
 	places = places[:min(len(places), maxRelayed*parts)]
 	gone := x.relaying.gone.take()
-	if len(places)+len(gone) == 0 && same(loads, x.relaying.last) && now.Sub(x.relaying.sentAt) < refresh {
+	if len(places)+len(gone) == 0 && slices.Equal(loads, x.relaying.last) && now.Sub(x.relaying.sentAt) < refresh {
 		x.mu.Unlock()
 		return
 	}
@@ -100,8 +101,8 @@
 
 	var to []string
 	for dc, r := range all {
-		if host, ok := hostOf(r.Address); ok && dc != self.DataCentre {
-			to = append(to, host+":"+x.opts.Port)
+		if address, ok := x.addressOf(&r); ok && dc != self.DataCentre {
+			to = append(to, address)
 		}
 	}
 	for part := range parts {
@@ -144,10 +145,8 @@
 		return
 	}
 	to := x.targets()
-	for _, address := range to {
-		if address == from {
-			return // it was passed on already
-		}
+	if slices.Contains(to, from) {
+		return // it was passed on already
 	}
 	x.tell(to, m)
 }
