Say once in the soak what spans overlap and how a link is cut

Each run of the moving route searched all calls for its own, and each check that all was calm listed the entry VMs anew; both are gathered once.

No promise is judged otherwise; the tests are as they were.

--- a/soak/book.go
+++ b/soak/book.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,8 +21,8 @@
 	moves    []move                   // of the moving route
 	planned  map[string][]span        // planned stops by entry VM
 	findings []Finding
-	faults   []string
-	quiet    time.Time // since when no fault is in force
+	called   map[*entry]bool // entry VMs that got a call, for judge
+	quiet    time.Time       // since when no fault is in force
 }
 
 // call is an attempt with the entry VM that got it.
@@ -73,12 +74,7 @@
 // reached says that an upstream and the way to it were sound in a time. What was sent before may arrive late, and a closed connection may
 // not be noticed.
 func (b *book) reached(id string, from, to time.Time) bool {
-	for _, s := range b.links[id] {
-		if s.from.Before(to) && s.to.After(from) {
-			return false
-		}
-	}
-	return true
+	return !overlaps(b.links[id], from, to)
 }
 
 func (w *world) planned(e *entry, from, to time.Time) {
@@ -87,17 +83,13 @@
 	w.book.planned[e.name] = append(w.book.planned[e.name], span{from, to})
 }
 
-func (w *world) injected(f fault) {
-	w.book.mu.Lock()
-	defer w.book.mu.Unlock()
-	w.book.faults = append(w.book.faults, f.String())
-}
-
 // Margins of the timed promises, for a machine that runs many processes at once.
 const (
 	timedMargin = 500 * time.Millisecond
 	leaveWithin = 500 * time.Millisecond // from a client's leaving to the end of its work
 	answerLate  = 500 * time.Millisecond // after a route's time limit
+	// sameFault is the most that lies between the two notes of one planned stop.
+	sameFault = 10 * time.Millisecond
 	// least is the share of the last requests that has to be served when the faults have ended long ago.
 	least = 0.95
 )
@@ -110,15 +102,18 @@
 	add := func(promise, format string, args ...any) {
 		out = append(out, Finding{promise, fmt.Sprintf(format, args...)})
 	}
+	began := make(map[string]time.Time, len(b.calls)) // by attempt
+	b.called = map[*entry]bool{}
 	for i := range b.calls {
 		c := &b.calls[i]
+		began[c.ID], b.called[c.entry] = c.began, true
 		b.judgeAnswer(c, add)
 		if timed {
 			b.judgeTimes(c, add)
 		}
 	}
 	for id, runs := range b.runs {
-		b.judgeRuns(id, runs, timed, add)
+		b.judgeRuns(id, runs, began, timed, add)
 	}
 	b.judgeRecovery(add)
 	return out
@@ -143,8 +138,8 @@
 	}
 }
 
-// judgeRuns counts the runs of an attempt.
-func (b *book) judgeRuns(id string, runs []standin.Run, timed bool, add adder) {
+// judgeRuns counts the runs of an attempt. sent is when clients began each attempt.
+func (b *book) judgeRuns(id string, runs []standin.Run, sent map[string]time.Time, timed bool, add adder) {
 	began := 0
 	for _, r := range runs {
 		if r.Began.IsZero() {
@@ -156,7 +151,11 @@
 			add("leaving upstreams get no requests", "%s reached %s %s after it was marked", id, r.Server, r.Arrived.Sub(at))
 		}
 		if timed && strings.HasPrefix(r.Path, "/moving/") {
-			b.judgeMove(id, r, add)
+			at, ok := sent[id]
+			if !ok {
+				at = r.Arrived // by then the client had sent it
+			}
+			b.judgeMove(id, r, at, add)
 		}
 	}
 	once := strings.HasPrefix(id, "once") || strings.HasPrefix(id, "stream")
@@ -172,14 +171,8 @@
 	}
 }
 
-// judgeMove holds a run of the moving route against the configurations in force.
-func (b *book) judgeMove(id string, r standin.Run, add adder) {
-	sent := r.Arrived // by then the client had sent it
-	for i := range b.calls {
-		if b.calls[i].ID == id {
-			sent = b.calls[i].began
-		}
-	}
+// judgeMove holds a run of the moving route against the configurations in force since its request was sent.
+func (b *book) judgeMove(id string, r standin.Run, sent time.Time, add adder) {
 	allowed := map[string]bool{}
 	for i, m := range b.moves {
 		last := i == len(b.moves)-1
@@ -192,15 +185,11 @@
 	}
 }
 
-// allCalm says that no entry VM was disturbed. Which one sent a request on is not known to an upstream.
+// allCalm says that no entry VM that clients called was disturbed. Which one sent a request on is not known to an upstream.
 func (b *book) allCalm(from, to time.Time) bool {
-	seen := map[*entry]bool{}
-	for i := range b.calls {
-		if e := b.calls[i].entry; !seen[e] {
-			seen[e] = true
-			if !e.calm(from, to) {
-				return false
-			}
+	for e := range b.called {
+		if !e.calm(from, to) {
+			return false
 		}
 	}
 	return true
@@ -239,12 +228,9 @@
 func (b *book) onlyPlanned(c *call, s span) bool {
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
-	for _, t := range c.entry.touched {
-		if t.from.Before(c.Ended) && t.to.After(c.began) && t.from.Sub(s.from).Abs() > 10*time.Millisecond {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(c.entry.touched, func(t span) bool {
+		return t.overlaps(c.began, c.Ended) && t.from.Sub(s.from).Abs() > sameFault
+	})
 }
 
 // judgeRecovery checks that requests are served when the faults have ended.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -20,8 +21,11 @@
 	lasts  time.Duration
 }
 
-func (f fault) String() string {
-	return fmt.Sprintf("%6.2fs %-16s target=%d for=%s", f.at.Seconds(), f.kind, f.target, f.lasts.Round(10*time.Millisecond))
+// cut cuts a link one way or both, and heals it when the fault ends.
+func (f fault) cut(p *proxy) {
+	p.setCut([]cut{cutBoth, cutToTarget, cutFromTarget}[f.target%3])
+	time.Sleep(f.lasts)
+	p.setCut(cutNone)
 }
 
 // settleAfter is how long after a fault the timed promises are not judged at what it touched: the time in which connections end, entry
@@ -58,9 +62,7 @@
 	"entry-cut": func(w *world, f fault) {
 		e := w.target(f)
 		e.disturb(f.lasts + settleAfter)
-		e.callers.setCut([]cut{cutBoth, cutToTarget, cutFromTarget}[f.target%3])
-		time.Sleep(f.lasts)
-		e.callers.setCut(cutNone)
+		f.cut(e.callers)
 	},
 	"store-down":   func(w *world, f fault) { w.storeFault(f, standin.StoreDown) },
 	"store-busy":   func(w *world, f fault) { w.storeFault(f, standin.StoreBusy) },
@@ -70,9 +72,7 @@
 	"store-cut": func(w *world, f fault) { // one entry VM
 		e := w.target(f)
 		e.disturb(f.lasts + settleAfter)
-		e.store.setCut([]cut{cutBoth, cutToTarget, cutFromTarget}[f.target%3])
-		time.Sleep(f.lasts)
-		e.store.setCut(cutNone)
+		f.cut(e.store)
 	},
 	"store-silence": func(w *world, f fault) { w.target(f).store.silence() },
 	"server-crash": func(w *world, f fault) {
@@ -118,9 +118,7 @@
 	"link-cut": func(w *world, f fault) {
 		n := w.node(f)
 		w.disturbLink(n, f.lasts)
-		n.link.setCut([]cut{cutBoth, cutToTarget, cutFromTarget}[f.target%3])
-		time.Sleep(f.lasts)
-		n.link.setCut(cutNone)
+		f.cut(n.link)
 	},
 	"config-change": func(w *world, _ fault) { w.configure() },
 	"config-storm": func(w *world, f fault) {
@@ -133,12 +131,7 @@
 
 // Kinds returns the names of all faults in order.
 func Kinds() []string {
-	var out []string
-	for k := range kinds {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(kinds))
 }
 
 // newPlan draws faults for a time. The same seed draws the same faults.
@@ -175,7 +168,6 @@
 				l.Lock()
 				defer l.Unlock()
 			}
-			w.injected(f)
 			kinds[f.kind](w, f)
 		})
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -85,7 +85,8 @@
 	p.mu.Lock()
 	delete(p.conns, c)
 	p.mu.Unlock()
-	_, _ = near.Close(), far.Close()
+	_ = near.Close()
+	_ = far.Close()
 }
 
 func (c *pair) set(state cut) {
@@ -134,7 +135,8 @@
 			}
 		}
 		if err != nil {
-			_, _ = c.near.Close(), c.far.Close()
+			_ = c.near.Close()
+			_ = c.far.Close()
 			return
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,7 +97,7 @@
 				known, until = list, time.Now().Add(life*time.Duration(1+2*(number%2)))
 			}
 		}
-		if at != nil && !contains(known, w.at(at, portCallers)) {
+		if at != nil && !slices.Contains(known, w.at(at, portCallers)) {
 			drop()
 		}
 		if conn == nil && len(known) > 0 {
@@ -130,15 +131,6 @@
 	}
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (w *world) byAddress(address string) *entry {
 	for _, e := range w.entry {
 		if w.at(e, portCallers) == address {
--- a/soak/world.go
+++ b/soak/world.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -89,6 +90,12 @@
 	book  book
 }
 
+func (s span) overlaps(from, to time.Time) bool { return s.from.Before(to) && s.to.After(from) }
+
+func overlaps(list []span, from, to time.Time) bool {
+	return slices.ContainsFunc(list, func(s span) bool { return s.overlaps(from, to) })
+}
+
 // newWorld starts the store, the upstreams and the entry VMs.
 func newWorld(o Options) (*world, error) {
 	w := &world{o: o, store: standin.NewStore(), moving: "app", turns: map[string]*sync.Mutex{}, book: book{
@@ -245,12 +252,7 @@
 func (e *entry) calm(from, to time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, s := range e.touched {
-		if s.from.Before(to) && s.to.After(from) {
-			return false
-		}
-	}
-	return true
+	return !overlaps(e.touched, from, to)
 }
 
 // startNode starts an upstream anew and registers it.
@@ -258,7 +260,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.starts++
-	n.id = fmt.Sprintf("i-%s-%d-%d", n.service, indexOf(w.nodes, n), n.starts)
+	n.id = fmt.Sprintf("i-%s-%d-%d", n.service, slices.Index(w.nodes, n), n.starts)
 	o := standin.ServerOptions{ID: n.id, Service: n.service, Phase: n.phase, Streams: n.streams, Slots: 32, Work: 15 * time.Millisecond, Observe: w.observe}
 	s, err := standin.NewServer(o)
 	if err != nil {
@@ -269,15 +271,6 @@
 	return trace.Wrap(w.store.Put("servers", n.id, s.Entry(n.link.address(), n.zone, "ready", time.Now().UnixMilli())))
 }
 
-func indexOf(list []*node, n *node) int {
-	for i := range list {
-		if list[i] == n {
-			return i
-		}
-	}
-	return len(list)
-}
-
 // configure writes a new configuration, in which the moving route has changed its service from the second one on.
 func (w *world) configure() {
 	w.mu.Lock()
