Log why a crash was counted or not, and what ended a suspicion

A failed send now says why it did not count as a crash, the ledger logs each crash that it notes, with its source, and each suspicion that ends, with who ended it, and the request line carries the fingerprint, so that attempts with the same content are found in all logs. No decision changes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -232,6 +232,7 @@
 		Scheduler: sched, Log: e.log, Quarantine: quarantine.New(quarantine.Options{List: e.list}),
 	})
 	e.crashes = quarantine.NewLedger(quarantine.LedgerOptions{
+		Log: e.log,
 		Tell: func(fp quarantine.Fingerprint, crash uint32) {
 			e.loads.Crashed(loads.Crash{Request: uint64(fp), ID: crash})
 		},
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -104,10 +104,10 @@
 		x.f.opts.Log.Warn("answer over its bound", zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.String("address", to.Address),
 			zap.String("what", over), zap.Error(e))
 	}
-	x.noteCrash(ctx, to, e)
+	crash := x.noteCrash(ctx, to, e)
 	x.f.metrics.failures.Inc()
 	x.f.opts.Log.Info("send failed", zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.Int("stage", int(e.Stage)),
-		zap.Bool("reset", e.Reset), zap.Int("events", x.events), zap.Error(e))
+		zap.Bool("reset", e.Reset), zap.Int("events", x.events), zap.String("crash", crash), zap.Error(e))
 	return out
 }
 
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -39,13 +39,22 @@
 	}
 }
 
-// noteCrash counts a failed exchange against the request if it was a crash: the upstream ended the connection and refuses new ones.
-func (x *exchange) noteCrash(ctx context.Context, to *topo.Upstream, e *conns.Error) {
-	if e.Stage == conns.NotSent || !e.Reset || x.events > crashEvents || !x.f.opts.Pool.Refuses(ctx, to.Address) {
-		return
+// noteCrash counts a failed exchange against the request if it was a crash: the upstream ended the connection and refuses new ones. It
+// returns what it found, for the log.
+func (x *exchange) noteCrash(ctx context.Context, to *topo.Upstream, e *conns.Error) string {
+	switch {
+	case e.Stage == conns.NotSent:
+		return "not sent"
+	case !e.Reset:
+		return "connection not ended by the upstream"
+	case x.events > crashEvents:
+		return "has run"
+	case !x.f.opts.Pool.Refuses(ctx, to.Address):
+		return "upstream accepts connections"
 	}
 	n := x.f.opts.Crashes.Crashed(x.print, uint32(xxhash.Sum64String(to.Name)))
 	x.f.metrics.crashes.Inc()
 	x.f.opts.Log.Warn("upstream crashed with the request", zap.String("request", x.call.ID), zap.String("upstream", to.Name),
 		zap.String("address", to.Address), zap.Uint64("fingerprint", uint64(x.print)), zap.Int("crashes", n), zap.Int("events", x.events))
+	return "counted"
 }
--- a/forward/record.go
+++ b/forward/record.go
@@ -56,7 +56,7 @@
 	if e != nil {
 		code = e.Code
 	}
-	fields := make([]zap.Field, 0, 14)
+	fields := make([]zap.Field, 0, 16)
 	fields = append(fields, zap.String("request", x.call.ID), zap.Int("code", int(code)), zap.String("result", code.Info().Name))
 	if x.route != nil {
 		class = x.route.Name
@@ -70,6 +70,9 @@
 		x.f.metrics.first(class).Update(x.firstAt.Seconds())
 	}
 	fields = append(fields, zap.Duration("took", took), zap.Duration("first", x.firstAt), zap.Int("events", x.events), zap.Int32("sends", x.sends.Load()))
+	if x.print != 0 {
+		fields = append(fields, zap.Uint64("fingerprint", uint64(x.print)))
+	}
 	if x.answer != nil {
 		fields = append(fields, zap.Int("status", x.answer.status))
 	}
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bergamotcroft.example/bergamot/result"
 )
 
@@ -34,6 +36,8 @@
 	// Tell passes a crash, or Cleared, to the other entry VMs. nil: there are none.
 	Tell func(fp Fingerprint, crash uint32)
 	Now  func() time.Time
+	// Log gets a line for each crash that is noted and each suspicion that ends; nil: none.
+	Log *zap.Logger
 }
 
 // Cleared in place of a crash says that the fingerprint has completed.
@@ -67,6 +71,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
 	return &Ledger{opts: o, entries: map[Fingerprint]*entry{}, settled: map[Fingerprint]bool{}}
 }
 
@@ -125,17 +132,25 @@
 	if crash == Cleared {
 		crash++
 	}
-	n := l.Heard(fp, crash)
+	n := l.note(fp, crash, fromSelf)
 	l.opts.Tell(fp, crash)
 	return n
 }
 
 // Heard notes what another entry VM has told.
-func (l *Ledger) Heard(fp Fingerprint, crash uint32) int {
+func (l *Ledger) Heard(fp Fingerprint, crash uint32) int { return l.note(fp, crash, fromPeer) }
+
+// Where the ledger knows something from, in log lines.
+const (
+	fromSelf = "self"
+	fromPeer = "peer"
+)
+
+func (l *Ledger) note(fp Fingerprint, crash uint32, from string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if crash == Cleared {
-		delete(l.entries, fp)
+		l.clear(fp, from)
 		return 0
 	}
 	n := l.count(fp)
@@ -146,12 +161,24 @@
 		l.entries[fp] = e
 	}
 	e.until = l.opts.Now().Add(l.opts.Expiry)
-	if len(e.crashes) < l.opts.Limit {
+	if _, known := e.crashes[crash]; !known && len(e.crashes) < l.opts.Limit {
 		e.crashes[crash] = struct{}{}
+		l.opts.Log.Info("crash noted", zap.Uint64("fingerprint", uint64(fp)), zap.Uint32("crash", crash), zap.String("from", from),
+			zap.Int("crashes", len(e.crashes)))
 	}
 	return len(e.crashes)
 }
 
+// clear ends the suspicion against fp and reports whether there was one. The lock is held.
+func (l *Ledger) clear(fp Fingerprint, from string) bool {
+	n := l.count(fp)
+	delete(l.entries, fp)
+	if n > 0 {
+		l.opts.Log.Info("suspicion ended", zap.Uint64("fingerprint", uint64(fp)), zap.String("from", from), zap.Int("crashes", n))
+	}
+	return n > 0
+}
+
 // makeRoom drops a fingerprint with the fewest crashes among some when the table is full, which takes thousands of crashes within the expiry.
 // The lock is held.
 func (l *Ledger) makeRoom() {
@@ -175,8 +202,7 @@
 // Completed ends the suspicion against a fingerprint, here and at the other entry VMs.
 func (l *Ledger) Completed(fp Fingerprint) {
 	l.mu.Lock()
-	_, suspect := l.entries[fp]
-	delete(l.entries, fp)
+	suspect := l.clear(fp, fromSelf)
 	l.mu.Unlock()
 	if suspect {
 		l.opts.Tell(fp, Cleared)
