Count an attempt that was refused before its send as not run

Callers of a request that the ledger of crashes refused between two attempts' places got 502, although nothing had been sent: the refusal ended an attempt, and an attempt that ends with anything but a failure of its upstream counted as one that may have run. So the caller was not told that the request had not run, nor when to come back. A refusal that states that nothing ran now counts as such.

--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -82,14 +82,23 @@
 	defer f.mu.Unlock()
 	f.sending--
 	f.winner = racer{}
-	var failure *upstream.Failure
 	if err == nil {
 		f.ran = true
-	} else if !errors.As(err, &failure) || (failure.Outcome != policy.RefusedNotRun && failure.Outcome != policy.FailedBeforeSend) {
+	} else if !certainlyNotRun(err) {
 		f.mayHave = true
 	}
 }
 
+// certainlyNotRun says that an attempt ended before its upstream began to run the request.
+func certainlyNotRun(err error) bool {
+	var failure *upstream.Failure
+	if errors.As(err, &failure) {
+		return failure.Outcome == policy.RefusedNotRun || failure.Outcome == policy.FailedBeforeSend
+	}
+	var refusal *result.Error
+	return errors.As(err, &refusal) && refusal.Execution == result.NotRun
+}
+
 // preempt cancels an attempt, also one that has not begun. The loop calls it.
 func (f *flight) preempt(number int) {
 	f.mu.Lock()
