Bound crashing requests also where a server comes back, answers with failures, streams first or falls silent

Cause: a crash was recognised only by a reset with at most one event before it and a refused connection within 50 ms; it was named by the start that the catalogue knows, so that further crashes of one name counted as one; and any answer cleared the request everywhere. Ruled out: servers gone for good, after work, in the middle of a body, back after 0.5 s among eight (three ended before the change as well). Change: the ledger keeps each run. One that its upstream breaks off counts when the upstream's process is found to have ended, before or within 5 s after: by a refused connection, by another upstream at its address, by its registration. A run names its crash when it is sent, by the upstream and by how many of its crashes are known. Only a good end clears. The last allowed run is announced and runs alone over all entry VMs, and what is refused is told again each second, for VMs that start or were cut off. Why it works: runs that one crash ends were all sent before it was known, and any later run knows it, whatever name the upstream has.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -60,7 +60,7 @@
 	crashes *quarantine.Ledger
 	servers []*server
 	group   run.Group
-	known   map[string]bool // upstream addresses with connections; owned by the catalog's observer
+	known   map[string]string // upstream names and their addresses; owned by the catalog's observer
 	leaving atomic.Bool
 	stop    chan struct{}
 	once    sync.Once
@@ -71,7 +71,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	e := &Edge{set: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), stop: make(chan struct{}), known: map[string]bool{}}
+	e := &Edge{set: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), stop: make(chan struct{}), known: map[string]string{}}
 	limitRuntime(o.Settings.Machine)
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address})
 	e.pool = conns.New(conns.Options{})
@@ -244,14 +244,36 @@
 		Sent:   func() { e.loads.Changed() },
 		Leaving: func(upstream string) {
 			e.catalog.Leaving(forward.InstanceOf(upstream), "upstream")
+			e.front.ProcessEnded(upstream, "its address has another one")
 			e.loads.Gone(upstream)
 		},
 	})
 	e.addContext("gateway", e.gateway.Run)
+	e.addContext("crashes", e.retellCrashes)
 	e.addContext("upstreams", e.followUpstreams)
 	return nil
 }
 
+// retellCrashes tells the other entry VMs now and then which requests are refused. Those that start or were cut off hear of them that way, sooner
+// than the users' bounds hold for them again.
+func (e *Edge) retellCrashes(ctx context.Context) error {
+	t := time.NewTicker(retellEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			e.crashes.Retell(retellMost)
+		}
+	}
+}
+
+const (
+	retellEvery = time.Second
+	retellMost  = 16 // fingerprints, of three crashes each: a datagram tells 48
+)
+
 // certainFor is how long the last confirmation of the configuration counts. The store answers a watch every two seconds.
 const certainFor = 4 * time.Second
 
@@ -303,17 +325,21 @@
 
 func (e *Edge) adopt(ctx context.Context, s catalog.State) error {
 	list := make([]topo.Upstream, 0, len(s.Entries))
-	now := map[string]bool{}
+	now := map[string]string{}
+	used := map[string]bool{}
 	for i := range s.Entries {
 		u, ok := upstreamOf(&s, &s.Entries[i])
 		if !ok {
 			continue
 		}
 		list = append(list, u)
-		now[u.Address] = true
+		now[u.Name], used[u.Address] = u.Address, true
 	}
-	for address := range e.known {
-		if !now[address] {
+	for name, address := range e.known {
+		if _, ok := now[name]; !ok {
+			e.front.ProcessEnded(name, "registration gone")
+		}
+		if !used[address] {
 			e.pool.Forget(address)
 		}
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -50,12 +50,14 @@
 }
 
 // do sends a request and returns its answer unless the upstream has stated that it did not run it.
-func (x *exchange) do(ctx context.Context, to *topo.Upstream, s *Send) (*conns.Response, Answer, error) {
+func (x *exchange) do(ctx context.Context, to *topo.Upstream, s *Send) (*answered, Answer, error) {
 	x.sends.Add(1)
-	resp, err := x.f.opts.Pool.Do(ctx, to.Address, x.request(s))
+	run := x.beginRun(to)
+	r, err := x.f.opts.Pool.Do(ctx, to.Address, x.request(s))
 	if err != nil {
-		return nil, Answer{}, x.failure(ctx, to, err)
+		return nil, Answer{}, run.failure(ctx, err)
 	}
+	resp := &answered{r, run}
 	a := x.f.opts.Codec.Answer(resp.Status, resp.Header)
 	if a.Leaving {
 		x.f.metrics.leavingAnswers.Inc()
@@ -83,9 +85,11 @@
 )
 
 // failure classifies an exchange that failed.
-func (x *exchange) failure(ctx context.Context, to *topo.Upstream, err error) *upstream.Failure {
+func (r *run) failure(ctx context.Context, err error) *upstream.Failure {
+	x, to := r.x, &r.to
 	var e *conns.Error
 	if !errors.As(err, &e) {
+		r.end()
 		return &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.UpstreamFailed, Cause: err}
 	}
 	out := &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.UpstreamFailed, Cause: e}
@@ -104,7 +108,7 @@
 		x.f.opts.Log.Warn("answer over its bound", zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.String("address", to.Address),
 			zap.String("what", over), zap.Error(e))
 	}
-	crash := x.noteCrash(ctx, to, e)
+	crash := r.failed(ctx, e)
 	x.f.metrics.failures.Inc()
 	x.f.opts.Log.Info("send failed", zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.Int("stage", int(e.Stage)),
 		zap.Bool("reset", e.Reset), zap.Int("events", x.events), zap.String("crash", crash), zap.Error(e))
@@ -156,10 +160,10 @@
 	}
 }
 
-func (x *exchange) readWhole(ctx context.Context, p *gateway.Placement, resp *conns.Response, a Answer) (*whole, error) {
+func (x *exchange) readWhole(ctx context.Context, p *gateway.Placement, resp *answered, a Answer) (*whole, error) {
 	body, err := resp.ReadAll(maxBuffered)
 	if err != nil {
-		return nil, x.failure(ctx, &p.Decode, err)
+		return nil, resp.run.failure(ctx, err)
 	}
 	if !a.Proof && resp.Status/100 == 2 {
 		return nil, x.unproven(p, resp)
@@ -171,7 +175,7 @@
 
 // passOn relays a successful answer of a stated length as it comes, since it is too long to be buffered. Once it has begun, no other
 // attempt can take its place.
-func (x *exchange) passOn(ctx context.Context, p *gateway.Placement, resp *conns.Response) error {
+func (x *exchange) passOn(ctx context.Context, p *gateway.Placement, resp *answered) error {
 	if !p.Win() {
 		return errGone
 	}
@@ -190,13 +194,13 @@
 			return nil
 		}
 		if err != nil {
-			return x.failure(ctx, &p.Decode, resp.Failure(err))
+			return resp.run.failure(ctx, resp.Failure(err))
 		}
 	}
 }
 
 // unproven is the failure of an answer that does not prove its origin.
-func (x *exchange) unproven(p *gateway.Placement, resp *conns.Response) *upstream.Failure {
+func (x *exchange) unproven(p *gateway.Placement, resp *answered) *upstream.Failure {
 	x.f.opts.Log.Warn("answer without proof", zap.String("request", x.call.ID), zap.String("upstream", p.Decode.Name), zap.Int("status", resp.Status))
 	return &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.AnswerMismatch, Cause: errUnproven}
 }
@@ -245,7 +249,7 @@
 }
 
 // generate sends the request to the engine that generates, with the computed prompt if there is one.
-func (x *exchange) generate(ctx context.Context, p *gateway.Placement, handle string) (*conns.Response, Answer, error) {
+func (x *exchange) generate(ctx context.Context, p *gateway.Placement, handle string) (*answered, Answer, error) {
 	s := x.send(&p.Decode)
 	s.After = x.lastID
 	if handle != "" {
@@ -258,7 +262,7 @@
 }
 
 // streamFailed takes an answer other than a stream. It is the caller's answer unless a stream has begun.
-func (x *exchange) streamFailed(ctx context.Context, p *gateway.Placement, resp *conns.Response, a Answer) error {
+func (x *exchange) streamFailed(ctx context.Context, p *gateway.Placement, resp *answered, a Answer) error {
 	got, err := x.readWhole(ctx, p, resp, a)
 	if err != nil {
 		return err
@@ -289,7 +293,7 @@
 	defer resp.Close()
 	body, err := resp.ReadAll(maxControl)
 	if err != nil {
-		return "", x.promptFailed(x.failure(ctx, &p.Prefill, err))
+		return "", x.promptFailed(resp.run.failure(ctx, err))
 	}
 	if resp.Status != http.StatusOK {
 		x.f.opts.Log.Info("prompt not computed", zap.String("request", x.call.ID), zap.String("upstream", p.Prefill.Name), zap.Int("status", resp.Status))
@@ -332,7 +336,7 @@
 }
 
 // relay passes events on as they come.
-func (x *exchange) relay(ctx context.Context, p *gateway.Placement, resp *conns.Response) error {
+func (x *exchange) relay(ctx context.Context, p *gateway.Placement, resp *answered) error {
 	events := eventReader{r: bufio.NewReaderSize(resp, eventBuffer)}
 	control := http.NewResponseController(x.w)
 	first := true
@@ -343,12 +347,12 @@
 			return x.streamEnded(resp)
 		}
 		if err != nil {
-			return x.failure(ctx, &p.Decode, resp.Failure(err))
+			return resp.run.failure(ctx, resp.Failure(err))
 		}
 		if idle += len(ev.raw); len(ev.id) > 0 {
 			idle = 0
 		} else if idle > maxWithoutProgress {
-			return x.failure(ctx, &p.Decode, resp.Failure(&bounded.Error{What: "stream without a new event", Limit: maxWithoutProgress}))
+			return resp.run.failure(ctx, resp.Failure(&bounded.Error{What: "stream without a new event", Limit: maxWithoutProgress}))
 		}
 		if first && !p.Win() {
 			return errGone
@@ -399,12 +403,12 @@
 }
 
 // begin writes the header of a stream. A stream that goes on at another upstream keeps it.
-func (x *exchange) begin(resp *conns.Response) {
+func (x *exchange) begin(resp *answered) {
 	resp.Header.Del("Content-Length")
 	x.writeHead(resp)
 }
 
-func (x *exchange) writeHead(resp *conns.Response) {
+func (x *exchange) writeHead(resp *answered) {
 	h := x.w.Header()
 	for k, v := range x.f.opts.Codec.Relay(resp.Header) {
 		h[k] = v
@@ -414,7 +418,7 @@
 }
 
 // streamEnded accepts the end of a stream that has one.
-func (x *exchange) streamEnded(resp *conns.Response) error {
+func (x *exchange) streamEnded(resp *answered) error {
 	if !x.begun.Load() {
 		x.begin(resp)
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -2,59 +2,107 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bergamotcroft.example/bergamot/conns"
 	"bergamotcroft.example/bergamot/gateway"
+	"bergamotcroft.example/bergamot/quarantine"
 	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
 )
 
-// A request that crashes its upstream does so when it begins to run. One that has had more events than this has run on an upstream that went
-// down for another reason.
-const crashEvents = 1
-
 // guarded lets an attempt begin only while the request has not had its crashes.
 func (x *exchange) guarded(attempt func(context.Context, *gateway.Placement) error) func(context.Context, *gateway.Placement) error {
 	return func(ctx context.Context, p *gateway.Placement) error {
-		wait, refusal := x.f.opts.Crashes.Check(x.print)
-		if refusal != nil {
-			return refusal
-		}
-		if wait == 0 {
-			return attempt(ctx, p)
-		}
-		if err := (store.SystemClock{}).Sleep(ctx, wait); err != nil {
-			return result.New(result.CallerGone, "the request ended before it was sent").WithExecution(result.NotRun).WithCause(err)
-		}
-		done, refusal := x.f.opts.Crashes.Begin(x.print)
+		done, wait, refusal := x.f.opts.Crashes.Begin(x.print)
 		if refusal != nil {
 			return refusal
 		}
 		defer done()
+		if wait > 0 {
+			if err := (store.SystemClock{}).Sleep(ctx, wait); err != nil {
+				return result.New(result.CallerGone, "the request ended before it was sent").WithExecution(result.NotRun).WithCause(err)
+			}
+			if refusal := x.f.opts.Crashes.Confirm(x.print); refusal != nil {
+				return refusal
+			}
+		}
 		return attempt(ctx, p)
 	}
 }
 
-// noteCrash counts a failed exchange against the request if it was a crash: the upstream ended the connection and refuses new ones. It
-// returns what it found, for the log.
-func (x *exchange) noteCrash(ctx context.Context, to *topo.Upstream, e *conns.Error) string {
+// run is one send, from its beginning to its end, as the ledger of crashes sees it.
+type run struct {
+	x     *exchange
+	to    topo.Upstream
+	ended bool
+}
+
+func (x *exchange) beginRun(to *topo.Upstream) *run {
+	x.f.opts.Crashes.Sent(x.print, to.Name)
+	return &run{x: x, to: *to}
+}
+
+// end notes that the run has ended otherwise than by its upstream's breaking off, unless it has ended before.
+func (r *run) end() {
+	if !r.ended {
+		r.ended = true
+		r.x.f.opts.Crashes.Ended(r.x.print, r.to.Name)
+	}
+}
+
+// failed notes how a send has failed, and what that says of the upstream. It returns what it found, for the log.
+func (r *run) failed(ctx context.Context, e *conns.Error) string {
+	f := r.x.f
 	switch {
 	case e.Stage == conns.NotSent:
+		r.end()
+		if errors.Is(e, syscall.ECONNREFUSED) {
+			f.ProcessEnded(r.to.Name, "connection refused")
+		}
 		return "not sent"
-	case !e.Reset:
-		return "connection not ended by the upstream"
-	case x.events > crashEvents:
-		return "has run"
-	case !x.f.opts.Pool.Refuses(ctx, to.Address):
-		return "upstream accepts connections"
+	case ctx.Err() != nil:
+		r.end()
+		return "given up here"
+	}
+	r.ended = true
+	crashes, crashed := f.opts.Crashes.Broken(r.x.print, r.to.Name)
+	switch {
+	case crashed:
+		f.crashed(r.x.print, r.to.Name, "process had ended", crashes)
+		return "counted"
+	case e.Reset && f.opts.Pool.Refuses(ctx, r.to.Address):
+		f.ProcessEnded(r.to.Name, "connection refused")
+		return "counted"
 	}
-	n := x.f.opts.Crashes.Crashed(x.print, uint32(xxhash.Sum64String(to.Name)))
-	x.f.metrics.crashes.Inc()
-	x.f.opts.Log.Warn("upstream crashed with the request", zap.String("request", x.call.ID), zap.String("upstream", to.Name),
-		zap.String("address", to.Address), zap.Uint64("fingerprint", uint64(x.print)), zap.Int("crashes", n), zap.Int("events", x.events))
-	return "counted"
+	return "upstream may live"
+}
+
+func (f *Front) crashed(fp quarantine.Fingerprint, upstream, why string, crashes int) {
+	f.metrics.crashes.Inc()
+	f.opts.Log.Warn("upstream crashed with the request", zap.String("upstream", upstream), zap.String("why", why),
+		zap.Uint64("fingerprint", uint64(fp)), zap.Int("crashes", crashes))
+}
+
+// ProcessEnded notes that an upstream's process has ended, so that the runs that broke off there count as crashed. why is for the log.
+func (f *Front) ProcessEnded(upstream, why string) {
+	for fp, crashes := range f.opts.Crashes.ProcessEnded(upstream) {
+		f.crashed(fp, upstream, why, crashes)
+	}
+}
+
+// answered is an answer whose run ends when it is closed.
+type answered struct {
+	*conns.Response
+	run *run
+}
+
+// Close ends the exchange.
+func (a *answered) Close() {
+	a.run.end()
+	a.Response.Close()
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -180,7 +180,7 @@
 	}
 	x.service = x.route.Pick(x.call.ID)
 	x.print = x.fingerprint()
-	if _, err = f.opts.Crashes.Check(x.print); err != nil {
+	if err = f.opts.Crashes.Check(x.print); err != nil {
 		return err
 	}
 	ctx, cancel := x.deadline()
@@ -190,7 +190,9 @@
 			return x.late(ctx, err)
 		}
 	}
-	f.opts.Crashes.Completed(x.print)
+	if x.answer == nil || x.answer.status/100 == 2 {
+		f.opts.Crashes.Completed(x.print)
+	}
 	if x.answer != nil {
 		x.write(x.answer)
 	}
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -190,7 +190,7 @@
 	x.Changed()
 }
 
-// Crashed notes that a request crashed an upstream, or has completed since, so that peers know it before they meet the request.
+// Crashed notes what peers have to know of a crashing request before they meet it.
 func (x *Exchange) Crashed(c Crash) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/loads/message.go
+++ b/loads/message.go
@@ -17,14 +17,14 @@
 	loads  []load
 	places []placement
 	gone   []uint32 // hashes of upstreams whose address another one has
-	// crashes are requests that crashed an upstream, or have completed since.
+	// crashes are requests that crashed an upstream, and what became of them.
 	crashes []Crash
 }
 
-// Crash says that a request crashed an upstream.
+// Crash says that a request crashed an upstream, or what became of it since.
 type Crash struct {
 	Request uint64 // its fingerprint
-	ID      uint32 // of the crash; 0: the request has completed
+	ID      uint32 // of the crash, or one of the quarantine's values that stand in its place
 }
 
 // load is the work in hand at one upstream.
