Keep in the store which requests are refused for their crashes

What callers would see: after a kill of all entry VMs at once a request that had ended three servers could end three more, since nothing but their memory knew of it. Cause: the ledger lived in memory only, and what is told again needs an entry VM that knows. Ruled out: reading the store before each suspect runs, which would cost a call for each of a hundred innocent requests of a crashed server. Change: the entry VM that sees the third crash writes one object, off the path of requests; an entry VM reads all of them once at its start and again until the store answers. Expired ones are removed by their writer or at the next start. Before, after: TestRefusalsOutliveAllEntryVMs: allowed again after a restart, refused. The VM's calls to the store: one more for each start.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -232,8 +232,9 @@
 	e.gateway = gateway.New(gateway.Options{
 		Scheduler: sched, Log: e.log, Quarantine: quarantine.New(quarantine.Options{List: e.list}),
 	})
+	var archive *quarantine.Archive
 	e.crashes = quarantine.NewLedger(quarantine.LedgerOptions{
-		Log: e.log,
+		Log: e.log, Refused: func(fp quarantine.Fingerprint, crashes []uint32) { archive.Refused(fp, crashes) },
 		Tell: func(fp quarantine.Fingerprint, crash uint32) {
 			e.loads.Crashed(loads.Crash{Request: uint64(fp), ID: crash})
 		},
@@ -249,7 +250,9 @@
 		},
 	})
 	e.addContext("gateway", e.gateway.Run)
+	archive = quarantine.NewArchive(quarantine.ArchiveOptions{Store: e.objects, Ledger: e.crashes, Log: e.log})
 	e.addContext("crashes", e.retellCrashes)
+	e.addContext("archive of refusals", archive.Run)
 	e.addContext("upstreams", e.followUpstreams)
 	return nil
 }
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,16 +44,18 @@
 	Max    int // fingerprints kept; default 16384
 	// Tell passes a crash, Cleared, Claimed or Released to the other entry VMs. nil: there are none.
 	Tell func(fp Fingerprint, crash uint32)
-	Now  func() time.Time
+	// Refused is told of each fingerprint that a crash seen here has got refused, with its crashes. It must not block. nil: not wanted.
+	Refused func(fp Fingerprint, crashes []uint32)
+	Now     func() time.Time
 	// Log gets a line for each crash that is noted and each suspicion that ends; nil: none.
 	Log *zap.Logger
 }
 
 // Values that Tell passes in place of a crash.
 const (
-	Cleared uint32 = iota // the fingerprint has completed
-	Claimed               // the entry VM is about to make the last allowed run
-	Released              // that run has ended, or was not made
+	Cleared  uint32 = iota // the fingerprint has completed
+	Claimed                // the entry VM is about to make the last allowed run
+	Released               // that run has ended, or was not made
 	firstCrash
 )
 
@@ -75,13 +79,16 @@
 	}
 	positive(&o.Settle, 60*time.Millisecond)
 	positive(&o.ClaimLife, 6*time.Second)
-	positive(&o.Expiry, 10*time.Minute)
+	positive(&o.Expiry, defaultExpiry)
 	if o.Max <= 0 {
 		o.Max = 16384
 	}
 	if o.Tell == nil {
 		o.Tell = func(Fingerprint, uint32) {}
 	}
+	if o.Refused == nil {
+		o.Refused = func(Fingerprint, []uint32) {}
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -91,6 +98,9 @@
 	return &Ledger{opts: o, entries: map[Fingerprint]*entry{}, runs: newRuns()}
 }
 
+// defaultExpiry is above the time after which callers in use have given a request up.
+const defaultExpiry = 10 * time.Minute
+
 func positive(v *time.Duration, d time.Duration) {
 	if *v <= 0 {
 		*v = d
@@ -222,6 +232,9 @@
 	e.noted = l.opts.Now()
 	l.opts.Log.Info("crash noted", zap.Uint64("fingerprint", uint64(fp)), zap.Uint32("crash", crash), zap.String("from", from),
 		zap.Int("crashes", n+1))
+	if from == fromSelf && n+1 == l.opts.Limit {
+		l.opts.Refused(fp, slices.Sorted(maps.Keys(e.crashes)))
+	}
 	return n + 1
 }
 
