Keep a broken run in mind when the attempt beside it reached no upstream

Cause: of two attempts that fail, only the end of the hedge counted; where the hedge was refused its connection and the first attempt broke off later, the request ended as not run. The scheduler also counted no run for it, so that one more upstream could have got it. Ruled out: the crash itself, which the log of the first attempt names. Change: the ends of both attempts count for the execution, and the one that may have run is the outcome. Before, after: TestABrokenRunBesideARefusedHedge 503, 502.

--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -84,9 +84,15 @@
 	f.winner = racer{}
 	if err == nil {
 		f.ran = true
-	} else if !certainlyNotRun(err) {
-		f.mayHave = true
 	}
+	f.mayHave = f.mayHave || err != nil && !certainlyNotRun(err)
+}
+
+// note keeps what the end of one of two attempts that ran beside one another says of the execution.
+func (f *flight) note(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mayHave = f.mayHave || err != nil && !certainlyNotRun(err)
 }
 
 // certainlyNotRun says that an attempt ended before its upstream began to run the request.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -98,13 +98,18 @@
 	}
 	if err == nil || crashed || (ctx.Err() != nil && !overtaken) {
 		h.cancel(errOvertaken)
-		<-h.done
+		f.note(<-h.done)
 		return err
 	}
 	if !overtaken && upstreamFailed(err) {
 		g.loop.send(event{kind: evFailed, flight: f, attempt: attempt, outcome: asFailure(err).Outcome})
 	}
-	return <-h.done
+	other := <-h.done
+	f.note(err)
+	if other != nil && certainlyNotRun(other) && !overtaken && !certainlyNotRun(err) {
+		return err // the request may have run, whatever became of the hedge
+	}
+	return other
 }
 
 // upstreamFailed says whether an attempt ended with a failure of its upstream, and not with a refusal by the gateway.
