Let the soak's entry VMs hear one another, and play crashing requests and the signs of upstreams

Cause: an entry VM derived the secret for its peers from the store's address, and in the soak each has a proxy of its own before the store, so all messages between entry VMs were dropped, unseen, since the first soak. New kinds: request-crash, server-says-leaving, server-quiet. New promises: only what was asked runs, requests go where a configuration sent them, a crashing request ends few servers, upstreams that say that they leave get no new work, upstreams that ask for quiet get it; each with cases in TestCheckers. One client in four uses its connection until it is closed.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
@@ -108,12 +107,6 @@
 	}
 }
 
-// secret authenticates datagrams and calls between the entry VMs of one deployment. The platform hands out no secret; its private
-// network is what keeps strangers out, and the code keeps deployments apart.
-func (e *Edge) secret() string {
-	return strconv.FormatUint(xxhash.Sum64String("entry VMs of "+e.set.Store.Address), 16)
-}
-
 func (e *Edge) port(n int) string { return strconv.Itoa(e.set.PeerPorts[0] + n) }
 
 // Ports between entry VMs, from the first free one on.
@@ -141,9 +134,9 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	e.peers = peer.NewClient(peer.ClientOptions{Secret: e.secret(), Timeout: peerTimeout})
+	e.peers = peer.NewClient(peer.ClientOptions{Secret: e.set.PeerSecret, Timeout: peerTimeout})
 	handlers := &peer.Handlers{}
-	service, err := peer.New(peer.Options{Listener: listener, Secret: e.secret(), Handlers: handlers})
+	service, err := peer.New(peer.Options{Listener: listener, Secret: e.set.PeerSecret, Handlers: handlers})
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -156,7 +149,7 @@
 			Name: e.set.VM, Address: net.JoinHostPort(e.set.IP, e.port(portMembers)), PeerAddress: address,
 			CallerAddress: e.set.Listen.Callers, DataCentre: e.set.DataCentre, Cores: max(int(e.set.Machine.CPUs*coreUnit), 1),
 		},
-		Transport: udp, Secret: e.secret(), Exchanger: e.peers, Seeds: without(e.set.Seeds, address), VMs: e.objects.VMs, PeerPort: port,
+		Transport: udp, Secret: e.set.PeerSecret, Exchanger: e.peers, Seeds: without(e.set.Seeds, address), VMs: e.objects.VMs, PeerPort: port,
 		ListInterval: listInterval, Log: e.log,
 	})
 	if err != nil {
@@ -291,7 +284,7 @@
 		return trace.Wrap(err)
 	}
 	e.loads = loads.New(loads.Options{
-		List: e.list, Transport: udp, Port: e.port(portLoads), Secret: e.secret(), Boot: e.boot, Do: e.gateway.Do, Log: e.log,
+		List: e.list, Transport: udp, Port: e.port(portLoads), Secret: e.set.PeerSecret, Boot: e.boot, Do: e.gateway.Do, Log: e.log,
 		Gone:    func(upstream string) { e.markLeaving(upstream, "peer") },
 		Crashed: func(c loads.Crash) { e.crashes.Heard(quarantine.Fingerprint(c.Request), c.ID) },
 	})
--- a/soak/book.go
+++ b/soak/book.go
@@ -18,6 +18,8 @@
 	runs     map[string][]standin.Run // by attempt
 	leaving  map[string]time.Time     // upstreams, since when the store says that they leave
 	links    map[string][]span        // times in which an upstream or the way to it was disturbed
+	ended    map[string][]span        // times in which an upstream that a request ended was away
+	quiet503 []quietSpan              // upstreams that asked for quiet
 	moves    []move                   // of the moving route
 	planned  map[string][]span        // planned stops by entry VM
 	findings []Finding
@@ -71,10 +73,34 @@
 	w.book.links[id] = append(w.book.links[id], span{now, now.Add(d + timedMargin)})
 }
 
+// crashed notes that a request ended an upstream, which is away for a time.
+func (b *book) crashed(id string, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.ended[id] = append(b.ended[id], span{now, now.Add(d + timedMargin)})
+}
+
+// quietSpan is a time for which an upstream asked for quiet.
+type quietSpan struct {
+	span
+	server string
+}
+
+func (b *book) quiets(n *node, d time.Duration) {
+	n.mu.Lock()
+	id := n.id
+	n.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.quiet503 = append(b.quiet503, quietSpan{span{now, now.Add(d)}, id})
+}
+
 // reached says that an upstream and the way to it were sound in a time. What was sent before may arrive late, and a closed connection may
 // not be noticed.
 func (b *book) reached(id string, from, to time.Time) bool {
-	return !overlaps(b.links[id], from, to)
+	return !overlaps(b.links[id], from, to) && !overlaps(b.ended[id], from, to)
 }
 
 func (w *world) planned(e *entry, from, to time.Time) {
@@ -115,6 +141,9 @@
 	for id, runs := range b.runs {
 		b.judgeRuns(id, runs, began, timed, add)
 	}
+	b.judgeAsked(add)
+	b.judgeCrashes(timed, add)
+	b.judgeSigns(timed, add)
 	b.judgeRecovery(add)
 	return out
 }
--- a/soak/book_test.go
+++ b/soak/book_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,7 +30,7 @@
 func (s *seen) at(ms int) time.Time { return s.t.Add(time.Duration(ms) * time.Millisecond) }
 
 func (s *seen) call(id string, from, to int, change func(o *standin.Outcome)) {
-	o := standin.Outcome{Attempt: standin.Attempt{ID: id}, Sent: s.at(from + 1), Ended: s.at(to), Status: 200, Whole: true}
+	o := standin.Outcome{Attempt: standin.Attempt{ID: id, Path: "/" + strings.TrimRight(id, "0123456789") + "/x", Body: "b"}, Sent: s.at(from + 1), Ended: s.at(to), Status: 200, Whole: true}
 	if change != nil {
 		change(&o)
 	}
@@ -35,11 +38,32 @@
 }
 
 func (s *seen) run(id, path, service string, from, to int, whole bool) {
+	if !slices.ContainsFunc(s.b.calls, func(c call) bool { return c.ID == id }) { // what its client saw says nothing
+		a := standin.Attempt{ID: id, Path: path, Body: "b"}
+		s.b.calls = append(s.b.calls, call{Outcome: standin.Outcome{Attempt: a}, entry: s.e, class: id, began: s.at(from)})
+	}
 	s.b.runs[id] = append(s.b.runs[id], standin.Run{
-		ID: id, Path: path, Service: service, Server: "i", Arrived: s.at(from), Began: s.at(from), Ended: s.at(to), Whole: whole,
+		ID: id, Path: path, Service: service, Server: "i", Body: "b", Arrived: s.at(from), Began: s.at(from), Ended: s.at(to), Whole: whole,
 	})
 }
 
+// crash lets a request end a server at each of some times.
+func (s *seen) crash(at ...int) {
+	for i, ms := range at {
+		id := fmt.Sprintf("read%d", i)
+		s.run(id, "/read/x", "app", ms, ms+10, false)
+		s.b.runs[id][0].Crashed = true
+	}
+}
+
+// quiet lets a server that wants quiet for a second get requests at some times.
+func (s *seen) quiet(at ...int) {
+	s.b.quiet503 = []quietSpan{{span{s.at(0), s.at(1000)}, "i"}}
+	for i, ms := range at {
+		s.run(fmt.Sprintf("read%d", i), "/read/x", "app", ms, ms+10, true)
+	}
+}
+
 // Guards against a checker that finds nothing, and against one that finds fault with what is allowed.
 func TestCheckers(t *testing.T) {
 	cases := []struct {
@@ -127,6 +151,48 @@
 			s.call("stream", 100, 200, func(o *standin.Outcome) { o.Whole, o.Err = false, errors.New("cut") })
 			s.run("stream", "/stream/x", "text", 110, 190, false)
 		}},
+		{"only what was asked runs", func(s *seen) {
+			s.b.runs["read"] = []standin.Run{{ID: "read", Path: "/read/x", Service: "app", Server: "i", Began: s.at(0)}}
+		}},
+		{"only what was asked runs", func(s *seen) {
+			s.call("read", 0, 50, nil)
+			s.run("read", "/read/y", "app", 10, 40, true)
+		}},
+		{"only what was asked runs", func(s *seen) {
+			s.call("read", 0, 50, nil)
+			s.run("read", "/read/x", "app", 10, 40, true)
+			s.b.runs["read"][0].Body = "c"
+		}},
+		{"requests go where a configuration sent them", func(s *seen) {
+			s.call("read", 0, 50, nil)
+			s.run("read", "/read/x", "text", 10, 40, true)
+		}},
+		{"", func(s *seen) { s.crash(0, 100, 200) }},
+		{"a crashing request ends few servers", func(s *seen) { s.crash(0, 100, 200, 300) }},
+		{"", func(s *seen) { // an entry VM was disturbed, and what came later than known is within the bound
+			s.e.touched = []span{{s.at(0), s.at(9000)}}
+			s.crash(0, 100, 200, 300, 4000, 4100, 4200)
+		}},
+		{"a crashing request ends few servers", func(s *seen) {
+			s.e.touched = []span{{s.at(0), s.at(9000)}}
+			s.crash(0, 100, 200, 4000, 4100, 4200, 4300)
+		}},
+		{"upstreams that say that they leave get no new work", func(s *seen) {
+			s.call("read", 0, 50, nil)
+			s.run("read", "/read/x", "app", 10, 40, true)
+			s.b.runs["read"][0].Leaving = true
+			s.call("read2", 51, 90, nil)
+			s.run("read2", "/read/x", "app", 60, 80, true)
+		}},
+		{"", func(s *seen) { // sent before
+			s.call("read", 0, 50, nil)
+			s.run("read", "/read/x", "app", 10, 40, true)
+			s.b.runs["read"][0].Leaving = true
+			s.call("read2", 49, 90, nil)
+			s.run("read2", "/read/x", "app", 60, 80, true)
+		}},
+		{"upstreams that ask for quiet get it", func(s *seen) { s.quiet(600, 700, 800, 900) }},
+		{"", func(s *seen) { s.quiet(100, 200, 300, 700, 800, 900, 1100) }},
 		{"service recovers", func(s *seen) {
 			s.b.quiet = s.at(0)
 			s.call("read", 13000, 13100, func(o *standin.Outcome) { o.Status = 502 })
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -107,7 +108,26 @@
 		s.Crash()
 		w.check(w.startNode(n))
 	},
-	"link-reset": func(w *world, f fault) { w.node(f).link.reset() },
+	"server-says-leaving": func(w *world, f fault) { // the store does not
+		n := w.node(f)
+		s := w.server(n)
+		s.SayLeaving()
+		time.Sleep(leavingWithin + f.lasts)
+		w.disturbLink(n, time.Second)
+		s.Crash()
+		n.link.reset()
+		w.store.Delete("servers", n.id)
+		w.check(w.startNode(n))
+	},
+	"server-quiet": func(w *world, f fault) {
+		f.lasts += time.Second
+		n := w.node(f)
+		w.book.quiets(n, f.lasts)
+		w.server(n).AskForQuiet(f.lasts)
+		time.Sleep(f.lasts)
+	},
+	"request-crash": func(w *world, f fault) { w.crashingClient(f) },
+	"link-reset":    func(w *world, f fault) { w.node(f).link.reset() },
 	"link-silence": func(w *world, f fault) {
 		n := w.node(f)
 		w.disturbLink(n, settleAfter)
@@ -190,7 +210,8 @@
 		return w.turn("store", f.target%len(w.entry))
 	case "store-down", "store-busy", "store-slow", "store-endless":
 		return w.turn("store", -1)
-	case "server-crash", "server-leave", "server-stall", "server-errors", "server-truncate", "server-repeats", "server-endless":
+	case "server-crash", "server-leave", "server-stall", "server-errors", "server-truncate", "server-repeats", "server-endless",
+		"server-says-leaving", "server-quiet":
 		return w.turn("server", f.target%len(w.nodes))
 	case "link-cut", "link-delay":
 		return w.turn("link", f.target%len(w.nodes))
@@ -200,6 +221,29 @@
 	return nil
 }
 
+// crashingRepeats are sent one after the other, each through a random entry VM.
+const crashingRepeats = 10
+
+// crashingClient sends a request that ends each server that runs it, again and again, and waits until the servers are back.
+func (w *world) crashingClient(f fault) {
+	rng := rand.New(rand.NewPCG(w.o.Seed, uint64(f.at)))
+	class := classes[f.target%len(classes)]
+	body := fmt.Sprintf("%s%d at %s", standin.Crashing, f.target, f.at)
+	for n := range crashingRepeats {
+		e := w.entry[rng.IntN(len(w.entry))]
+		conn, err := standin.Dial(context.Background(), e.callers.address())
+		if err != nil {
+			continue // the entry VM is down
+		}
+		a := standin.Attempt{ID: fmt.Sprintf("%s-crash-%d-%d-%d", class, f.target, f.at.Milliseconds(), n), Host: host, Path: "/" + class + "/x",
+			Body: body, Deadline: clientDeadline, Streams: class == "stream" || class == "resume"}
+		w.call(conn, e, class, a)
+		_ = conn.Close()
+		time.Sleep(f.lasts / crashingRepeats)
+	}
+	w.revivals.Wait()
+}
+
 func (w *world) turn(what string, i int) *sync.Mutex {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -9,9 +9,10 @@
 
 // proxy forwards connections of loopback to a target and can disturb them.
 type proxy struct {
-	l net.Listener
+	at string // its address
 
 	mu     sync.Mutex
+	l      net.Listener // nil: it refuses connections
 	target string
 	delay  time.Duration // of each piece, one way
 	cut    cut           // of connections that are opened from now on, too
@@ -41,21 +42,43 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{l: l, target: target, conns: map[*pair]struct{}{}}
-	go p.accept()
+	p := &proxy{at: l.Addr().String(), l: l, target: target, conns: map[*pair]struct{}{}}
+	go p.accept(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.l.Addr().String() }
+func (p *proxy) address() string { return p.at }
 
+// close refuses connections from now on and resets those that are open, as the end of a process does.
 func (p *proxy) close() {
-	_ = p.l.Close()
+	p.mu.Lock()
+	if p.l != nil {
+		_ = p.l.Close()
+		p.l = nil
+	}
+	p.mu.Unlock()
 	p.reset()
 }
 
-func (p *proxy) accept() {
+// reopen accepts connections again.
+func (p *proxy) reopen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.l != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp4", p.at)
+	if err != nil {
+		return err
+	}
+	p.l = l
+	go p.accept(l)
+	return nil
+}
+
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.l.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return // closed
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -98,7 +98,8 @@
 				known, until = list, time.Now().Add(life*time.Duration(1+2*(number%2)))
 			}
 		}
-		if at != nil && !slices.Contains(known, w.at(at, portCallers)) {
+		// One in four uses its connection until the process is gone, whatever the directory says.
+		if at != nil && number%4 != 3 && !slices.Contains(known, w.at(at, portCallers)) {
 			drop()
 		}
 		if conn == nil && len(known) > 0 {
@@ -120,11 +121,7 @@
 		if rng.IntN(20) == 0 {
 			a.Leave = time.Duration(5+rng.IntN(60)) * time.Millisecond // a slow request has most of its work before it then
 		}
-		began := time.Now()
-		o := conn.Do(a)
-		w.book.mu.Lock()
-		w.book.calls = append(w.book.calls, call{Outcome: o, entry: at, class: class, began: began})
-		w.book.mu.Unlock()
+		o := w.call(conn, at, class, a)
 		if !o.KeepsOn || rng.IntN(30) == 0 {
 			drop()
 		}
@@ -132,6 +129,16 @@
 	}
 }
 
+// call makes an attempt and notes what came of it.
+func (w *world) call(conn *standin.Conn, e *entry, class string, a standin.Attempt) standin.Outcome {
+	began := time.Now()
+	o := conn.Do(a)
+	w.book.mu.Lock()
+	defer w.book.mu.Unlock()
+	w.book.calls = append(w.book.calls, call{Outcome: o, entry: e, class: class, began: began})
+	return o
+}
+
 func (w *world) byAddress(address string) *entry {
 	for _, e := range w.entry {
 		if w.at(e, portCallers) == address {
--- a/soak/world.go
+++ b/soak/world.go
@@ -92,6 +92,8 @@
 	mu    sync.Mutex
 	turns map[string]*sync.Mutex // of faults that would undo one another
 	book  book
+
+	revivals sync.WaitGroup // servers that a request ended and that come back
 }
 
 func (s span) overlaps(from, to time.Time) bool { return s.from.Before(to) && s.to.After(from) }
@@ -103,7 +105,7 @@
 // newWorld starts the store, the upstreams and the entry VMs.
 func newWorld(o Options) (*world, error) {
 	w := &world{o: o, store: standin.NewStore(), moving: "app", turns: map[string]*sync.Mutex{}, book: book{
-		runs: map[string][]standin.Run{}, leaving: map[string]time.Time{}, planned: map[string][]span{}, links: map[string][]span{},
+		runs: map[string][]standin.Run{}, leaving: map[string]time.Time{}, planned: map[string][]span{}, links: map[string][]span{}, ended: map[string][]span{},
 	}}
 	var err error
 	if w.listen, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
@@ -216,7 +218,7 @@
 		return trace.ConvertSystemError(err)
 	}
 	cmd := exec.Command(w.o.Program, "edge")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+e.settings, "GOMAXPROCS=2")
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+e.settings, platform.SecretVariable+"=soak", "GOMAXPROCS=2")
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return trace.Wrap(err)
@@ -299,7 +301,9 @@
 	defer n.mu.Unlock()
 	n.starts++
 	n.id = fmt.Sprintf("i-%s-%d-%d", n.service, slices.Index(w.nodes, n), n.starts)
-	o := standin.ServerOptions{ID: n.id, Service: n.service, Phase: n.phase, Streams: n.streams, Slots: 32, Work: 15 * time.Millisecond, Observe: w.observe}
+	starts := n.starts
+	o := standin.ServerOptions{ID: n.id, Service: n.service, Phase: n.phase, Streams: n.streams, Slots: 32, Work: 15 * time.Millisecond, Observe: w.observe,
+		Crashed: func() { w.endedByRequest(n, starts) }}
 	s, err := standin.NewServer(o)
 	if err != nil {
 		return trace.Wrap(err)
@@ -309,6 +313,35 @@
 	return trace.Wrap(w.store.Put("servers", n.id, s.Entry(n.link.address(), n.zone, "ready", time.Now().UnixMilli())))
 }
 
+// endedByRequest ends a server under a request, and lets another start take its place after a while.
+func (w *world) endedByRequest(n *node, starts int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.starts != starts {
+		return // another fault has replaced it
+	}
+	n.link.close()
+	n.server.Crash()
+	w.book.crashed(n.id, backAfter)
+	w.revivals.Go(func() {
+		time.Sleep(backAfter)
+		turn := w.turn("server", slices.Index(w.nodes, n))
+		turn.Lock()
+		defer turn.Unlock()
+		n.mu.Lock()
+		replaced, id := n.starts != starts, n.id
+		n.mu.Unlock()
+		if !replaced {
+			w.store.Delete("servers", id)
+			w.check(w.startNode(n))
+		}
+		w.check(n.link.reopen())
+	})
+}
+
+// backAfter is how long a server that a request ended is away.
+const backAfter = 1500 * time.Millisecond
+
 // configure writes a new configuration, in which the moving route has changed its service from the second one on.
 func (w *world) configure() {
 	w.mu.Lock()
