Report a call whose time runs out at the peer as late, not as to a peer that is off

Cause: a call's limit travels with it, so its handler ends at the same moment as the caller's own timer. Where the peer's answer came first, it said unavailable, whatever had ended the handler. Ruled out: the caller's two timers of one length, a dial that takes longer than the limit (both give deadline_exceeded). Change: a handler that ends by the call's limit answers deadline_exceeded.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -125,6 +125,9 @@
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("not served by this entry VM"))
 	}
 	res, err := f(ctx, r.Msg)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, err) // the caller's limit, which came with its call
+	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -70,3 +70,18 @@
 	_, _, err := c.GetConfiguration(t.Context(), address, 4)
 	is.Equal(connect.CodeOf(err), connect.CodeDeadlineExceeded)
 }
+
+// Guards against a call whose time runs out first at the peer, which answers that it is off.
+func TestACallsLimitHoldsAtThePeer(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, &Handlers{GetConfiguration: func(ctx context.Context, _ uint64) (uint64, []byte, error) {
+		<-ctx.Done()
+		return 0, nil, ctx.Err()
+	}})
+	for i := range 400 {
+		c := NewClient(ClientOptions{Secret: "right", Timeout: time.Duration(20+10*i) * time.Microsecond})
+		_, _, err := c.GetConfiguration(t.Context(), address, 4)
+		c.Close()
+		is.Equal(connect.CodeOf(err), connect.CodeDeadlineExceeded)
+	}
+}
