--- a/gateway/flight.go
+++ b/gateway/flight.go
@@ -85,13 +85,17 @@
 	if err == nil {
 		f.ran = true
 	}
-	f.mayHave = f.mayHave || err != nil && !certainlyNotRun(err)
+	f.noteLocked(err)
 }
 
 // note keeps what the end of one of two attempts that ran beside one another says of the execution.
 func (f *flight) note(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteLocked(err)
+}
+
+func (f *flight) noteLocked(err error) {
 	f.mayHave = f.mayHave || err != nil && !certainlyNotRun(err)
 }
 
