Decode and log the limits that upstreams name

An answer's limit is decoded in platform, logged with its upstream and counted in bergamot_forward_limit_answers_total. What is sent where does not change.

--- a/forward/availability.go
+++ b/forward/availability.go
@@ -17,6 +17,11 @@
 		f.opts.Gateway.SetAccepting(upstream, false)
 		f.opts.OnLeaving(upstream)
 	}
+	if a.LimitSign != NoLimit {
+		f.metrics.limitAnswers.Inc()
+		f.opts.Log.Info("upstream named a limit", zap.String("upstream", upstream), zap.Float64("per_second", a.Limit),
+			zap.Bool("readable", a.LimitSign == LimitNamed))
+	}
 	if a.RetryAfter > 0 {
 		f.metrics.retryLaterAnswers.Inc()
 		f.opts.Log.Info("upstream asked for quiet", zap.String("upstream", upstream), zap.Duration("for", a.RetryAfter))
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -50,8 +50,22 @@
 	Leaving       bool // the upstream takes no new work until its next start
 	// RetryAfter is how long the upstream asks this entry VM to send no requests; 0: it has not asked.
 	RetryAfter time.Duration
+	// Limit is the number of requests per second that the upstream takes from all entry VMs together, if LimitSign is
+	// LimitNamed.
+	LimitSign LimitSign
+	Limit     float64
 }
 
+// LimitSign is what an answer states about a limit on the requests to its upstream.
+type LimitSign int
+
+// Statements about a limit.
+const (
+	NoLimit         LimitSign = iota // none is named
+	LimitNamed                       // Answer.Limit
+	LimitUnreadable                  // one is named, but not as a number of requests; it says nothing
+)
+
 // Codec translates between the project's types and a protocol of callers and upstreams.
 type Codec interface {
 	// ParseCall parses a request. It removes headers that only this system may set, and hop-by-hop headers.
--- a/forward/record.go
+++ b/forward/record.go
@@ -12,9 +12,9 @@
 
 // metricSet holds the metrics of a Front.
 type metricSet struct {
-	rejections, failures, leavingAnswers, retryLaterAnswers, bodyMemory, crashes *metrics.Counter
-	requests                                                                     func(class string, code result.Code) *metrics.Counter
-	latency, first                                                               func(class string) *metrics.Histogram
+	rejections, failures, leavingAnswers, retryLaterAnswers, limitAnswers, bodyMemory, crashes *metrics.Counter
+	requests                                                                                   func(class string, code result.Code) *metrics.Counter
+	latency, first                                                                             func(class string) *metrics.Histogram
 }
 
 // maxClassLabels bounds the classes with a series of their own; a configuration may have hundreds of routes.
@@ -28,6 +28,7 @@
 		bodyMemory:        metrics.GetOrCreateCounter("bergamot_forward_refused_for_body_memory_total"),
 		leavingAnswers:    metrics.GetOrCreateCounter("bergamot_forward_leaving_answers_total"),
 		retryLaterAnswers: metrics.GetOrCreateCounter("bergamot_forward_quiet_answers_total"),
+		limitAnswers:      metrics.GetOrCreateCounter("bergamot_forward_limit_answers_total"),
 	}
 	labels := newLabelLimiter(maxClassLabels)
 	m.requests = func(class string, code result.Code) *metrics.Counter {
