soak: upstreams that name a limit, and a check of what they get

The fault server-limit names 0.5 to 4 requests a second for some seconds and then twice as many; the promise is the users' bound. TestCheckers has the checker's own cases.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -127,6 +127,17 @@
 		fl.currentServer(n).AskForBackOff(f.duration)
 		time.Sleep(f.duration)
 	},
+	"server-limit": func(fl *fleet, f fault) { // the limit rises halfway
+		f.duration += limitSettleTime
+		n := fl.targetNode(f)
+		perSecond := 0.5 * float64(1+f.target/len(fl.nodes)%8)
+		for _, limit := range []float64{perSecond, 2 * perSecond} {
+			fl.observed.recordLimitPeriod(n, limit, f.duration)
+			fl.currentServer(n).SetLimit(limit)
+			time.Sleep(f.duration)
+		}
+		fl.currentServer(n).SetLimit(0)
+	},
 	"request-crash": func(fl *fleet, f fault) { fl.sendCrashingRequests(f) },
 	"link-reset":    func(fl *fleet, f fault) { fl.targetNode(f).link.reset() },
 	"link-silence": func(fl *fleet, f fault) {
@@ -212,7 +223,7 @@
 	case "store-down", "store-busy", "store-slow", "store-endless":
 		return fl.targetLock("store", -1)
 	case "server-crash", "server-leave", "server-stall", "server-errors", "server-truncate", "server-repeats", "server-endless",
-		"server-says-leaving", "server-quiet":
+		"server-says-leaving", "server-quiet", "server-limit":
 		return fl.targetLock("server", f.target%len(fl.nodes))
 	case "link-cut", "link-delay":
 		return fl.targetLock("link", f.target%len(fl.nodes))
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -74,6 +74,12 @@
 	starts int
 }
 
+func (n *node) currentID() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.id
+}
+
 // fleet is a set of entry VMs, upstreams and a store on loopback.
 type fleet struct {
 	options       Options
--- a/soak/judge_upstreams.go
+++ b/soak/judge_upstreams.go
@@ -17,6 +17,12 @@
 	// entry VM may still send then, besides the one by which it learns of the request for quiet.
 	quietDelay       = 500 * time.Millisecond
 	quietMaxRequests = 2
+	// The users' bound on requests to an upstream that names a limit: limitRatio times the limit and limitSlack requests in any limitWindow,
+	// from limitSettleTime after the limit was first named.
+	limitSettleTime = 3 * time.Second
+	limitWindow     = 4 * time.Second
+	limitRatio      = 1.5
+	limitSlack      = 5
 )
 
 // allowedServices holds the services to which any configuration routes a path, by the path's first segment.
@@ -121,3 +127,37 @@
 		}
 	}
 }
+
+// judgeLimits checks how many requests upstreams got while they named a limit. Requests of entry VMs that were disturbed since the limit was
+// named don't count.
+func (o *observations) judgeLimits(add addFinding) {
+	entryOf := make(map[string]*entryVM, len(o.calls))
+	for i := range o.calls {
+		entryOf[o.calls[i].ID] = o.calls[i].entry
+	}
+	for _, p := range o.limitPeriods {
+		if !o.linkUndisturbed(p.server, p.from, p.to) {
+			continue // requests that were held up arrive together
+		}
+		var arrived []time.Time
+		for id, runs := range o.runs {
+			for _, r := range runs {
+				e := entryOf[id]
+				if r.Server == p.server && r.Arrived.After(p.from.Add(limitSettleTime)) && r.Arrived.Before(p.to) && e != nil && e.undisturbed(p.from, r.Arrived) {
+					arrived = append(arrived, r.Arrived)
+				}
+			}
+		}
+		slices.SortFunc(arrived, time.Time.Compare)
+		most, first := 0, 0
+		for i := range arrived {
+			for arrived[i].Sub(arrived[first]) >= limitWindow {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		if allowed := int(limitRatio*p.perSecond*limitWindow.Seconds() + limitSlack); most > allowed {
+			add("upstreams that name a limit get no more", "%s named %g a second and got %d requests in %s, allowed %d", p.server, p.perSecond, most, limitWindow, allowed)
+		}
+	}
+}
--- a/soak/observations.go
+++ b/soak/observations.go
@@ -20,6 +20,7 @@
 	linkDisturbances map[string][]interval    // by upstream: when it or the link to it was disturbed
 	crashOutages     map[string][]interval    // by upstream: when it was down after a request crashed it
 	quietPeriods     []quietPeriod            // in which upstreams asked for no requests
+	limitPeriods     []limitPeriod            // in which upstreams named a limit
 	routeChanges     []routeChange            // of the moving route, in order of time
 	plannedStops     map[string][]interval    // by entry VM
 	findings         []Finding
@@ -64,9 +65,7 @@
 
 // recordLinkDisturbance records that an upstream, or the link to it, is disturbed for d and the margin from now.
 func (fl *fleet) recordLinkDisturbance(n *node, d time.Duration) {
-	n.mu.Lock()
-	id := n.id
-	n.mu.Unlock()
+	id := n.currentID()
 	fl.observed.mu.Lock()
 	defer fl.observed.mu.Unlock()
 	now := time.Now()
@@ -88,15 +87,28 @@
 }
 
 func (o *observations) recordQuietPeriod(n *node, d time.Duration) {
-	n.mu.Lock()
-	id := n.id
-	n.mu.Unlock()
+	id := n.currentID()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := time.Now()
 	o.quietPeriods = append(o.quietPeriods, quietPeriod{interval{now, now.Add(d)}, id})
 }
 
+// limitPeriod is an interval in which an upstream named a limit.
+type limitPeriod struct {
+	interval
+	server    string
+	perSecond float64
+}
+
+func (o *observations) recordLimitPeriod(n *node, perSecond float64, d time.Duration) {
+	id := n.currentID()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := time.Now()
+	o.limitPeriods = append(o.limitPeriods, limitPeriod{interval{now, now.Add(d)}, id, perSecond})
+}
+
 // linkUndisturbed reports whether an upstream and the link to it were undisturbed from one time to another. Over a disturbed link, a request
 // sent earlier may arrive late and a closed connection may go unnoticed.
 func (o *observations) linkUndisturbed(id string, from, to time.Time) bool {
@@ -144,6 +156,9 @@
 	o.judgeRequests(add)
 	o.judgeCrashes(timed, add)
 	o.judgeLeavingAndQuiet(timed, add)
+	if timed {
+		o.judgeLimits(add)
+	}
 	o.judgeRecovery(add)
 	return out
 }
--- a/soak/observations_test.go
+++ b/soak/observations_test.go
@@ -64,6 +64,15 @@
 	}
 }
 
+// runsUnderLimit records n requests, gap milliseconds apart, to a server that names 1 a second, from limitSettleTime after its first answer.
+func (s *scenario) runsUnderLimit(n, gap int) {
+	s.observed.limitPeriods = []limitPeriod{{interval{s.after(0), s.after(10000)}, "i", 1}}
+	for i := range n {
+		ms := 3001 + gap*i
+		s.run(fmt.Sprintf("read%d", i), "/read/x", "app", ms, ms+10, true)
+	}
+}
+
 // Guards against checkers that miss a violation, and against checkers that report allowed behaviour.
 func TestCheckers(t *testing.T) {
 	cases := []struct {
@@ -193,6 +202,17 @@
 		}},
 		{"upstreams that ask for quiet get it", func(s *scenario) { s.runsDuringQuiet(600, 700, 800, 900) }},
 		{"", func(s *scenario) { s.runsDuringQuiet(100, 200, 300, 700, 800, 900, 1100) }},
+		{"upstreams that name a limit get no more", func(s *scenario) { s.runsUnderLimit(12, 300) }},
+		{"", func(s *scenario) { s.runsUnderLimit(11, 300) }},
+		{"", func(s *scenario) { s.runsUnderLimit(17, 400) }}, // not more than 11 in any 4 s
+		{"", func(s *scenario) { // the entry VM was disturbed
+			s.entry.disturbances = []interval{{s.after(100), s.after(200)}}
+			s.runsUnderLimit(30, 100)
+		}},
+		{"", func(s *scenario) { // the link was cut meanwhile
+			s.observed.linkDisturbances = map[string][]interval{"i": {{s.after(3000), s.after(4000)}}}
+			s.runsUnderLimit(30, 100)
+		}},
 		{"service recovers", func(s *scenario) {
 			s.observed.faultsEnded = s.after(0)
 			s.call("read", 13000, 13100, func(o *standin.Outcome) { o.Status = 502 })
