Keep the limits that upstreams name, over all entry VMs

Cause: no part of the system read the sign, and nothing on this path shares a rate among entry VMs. Each of nine VMs keeping the limit for itself would have sent nine times as much, and a split request chooses its decoder after its dispatch.

Change: a limited upstream takes a request for a permit only. Permits are counted in the scheduler, where runs, retries, hedges, resumptions, prompts and hand-overs are decided; hedges, probes, fetches of cached pieces, role orders and calls that free prompts leave limited upstreams alone. Package permits shares them: for each upstream one VM, chosen by rendezvous hashing, grants them to those that ask, the most urgent first, then in turn. A VM that gets no answer uses its own part of the limit. The newest statement of an upstream holds; an answer without a limit ends it only if its request was sent after the last answer with one. Requests for limited upstreams alone are refused at once if their turn comes too late, with the time until there is room.

Ruled out: equal parts for each VM (0.2 a second for nine VMs, most of them unused), parts by demand as in limits (of no use below one request a VM), and counting sends by gossip (all VMs that wait send at the same time).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -30,6 +30,7 @@
 	"bergamotcroft.example/bergamot/loads"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/peer"
+	"bergamotcroft.example/bergamot/permits"
 	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/quarantine"
@@ -55,6 +56,7 @@
 	list              *membership.Service
 	peers             *peer.Client
 	loads             *loads.Exchange
+	permits           *permits.Exchange
 	pool              *conns.Pool
 	gateway           *gateway.Gateway
 	front             *forward.Front
@@ -86,6 +88,9 @@
 	if err := e.buildLoads(); err != nil {
 		return nil, err
 	}
+	if err := e.buildPermits(); err != nil {
+		return nil, err
+	}
 	if err := e.listen(o.Metrics); err != nil {
 		return nil, err
 	}
@@ -116,6 +121,7 @@
 	membershipPort  = 0
 	loadsPort       = 1
 	peerServicePort = 2 // used if the platform sets no separate address for peers
+	permitsPort     = 3
 )
 
 func (e *Edge) peerAddress() string {
@@ -240,6 +246,7 @@
 		BodyMemory: e.settings.ResourceLimits.MemoryBytes / bodyMemoryDivisor, Crashes: e.crashes,
 		OnPlaced: func(parts []policy.Part, upstreams ...string) { e.loads.QueuePlacement(parts, upstreams...) },
 		OnSend:   func() { e.loads.TriggerRound() },
+		OnLimit:  func() { e.permits.Trigger() },
 		OnLeaving: func(upstream string) {
 			e.markLeaving(upstream, "upstream")
 			e.loads.QueueGone(upstream)
@@ -290,11 +297,25 @@
 		List: e.list, Transport: udp, Port: e.peerPort(loadsPort), Secret: e.settings.PeerSecret, Boot: e.boot, RunInScheduler: e.gateway.Do, Log: e.log,
 		OnGone:  func(upstream string) { e.markLeaving(upstream, "peer") },
 		OnCrash: func(c loads.Crash) { e.crashes.Receive(quarantine.Fingerprint(c.Request), c.ID) },
+		OnLimit: func(l loads.Limit) { e.permits.Learn(l) },
 	})
 	e.addActor("loads", e.loads.Run)
 	return nil
 }
 
+func (e *Edge) buildPermits() error {
+	udp, err := membership.ListenUDP(net.JoinHostPort(e.settings.IP, e.peerPort(permitsPort)))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	e.permits = permits.New(permits.Options{
+		List: e.list, Transport: udp, Port: e.peerPort(permitsPort), Secret: e.settings.PeerSecret, Boot: e.boot, Reachable: e.list.Reachable,
+		RunInScheduler: e.gateway.Do, Announce: e.loads.QueueLimit, Log: e.log,
+	})
+	e.addActor("permits", e.permits.Run)
+	return nil
+}
+
 // followUpstreams passes the catalog's upstreams to the scheduler at each change and closes expired idle connections.
 func (e *Edge) followUpstreams(ctx context.Context) error {
 	changed := make(chan struct{}, 1)
--- a/edge/roles.go
+++ b/edge/roles.go
@@ -42,12 +42,13 @@
 // engines returns the engines with their load, or nil if the gateway has stopped.
 func (e *Edge) engines() []roles.Engine {
 	s := e.catalog.State()
-	loads, quiet := map[string]float64{}, map[string]bool{}
+	loads, quiet, limited := map[string]float64{}, map[string]bool{}, map[string]bool{}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	err := e.gateway.Do(ctx, func(_ time.Duration, sched *scheduler.Scheduler) {
 		for _, u := range sched.Fleet().Upstreams {
-			loads[u.Spec.Name], quiet[u.Spec.Name] = float64(u.OwnRunning+u.OtherRunning()), u.Quiet
+			loads[u.Spec.Name] = float64(u.OwnRunning + u.OtherRunning())
+			quiet[u.Spec.Name], limited[u.Spec.Name] = u.Quiet, u.Limited
 		}
 	})
 	if err != nil {
@@ -62,7 +63,7 @@
 		}
 		out = append(out, roles.Engine{
 			Name: u.Name, Set: x.Service, Address: x.Address, Instance: x.ID, Role: x.Role, Leaving: x.Leaving || quiet[u.Name],
-			Load: loads[u.Name],
+			Limited: limited[u.Name], Load: loads[u.Name],
 		})
 	}
 	return out
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -53,6 +53,7 @@
 func (x *exchange) roundTrip(ctx context.Context, to *topo.Upstream, s *Send) (*runResponse, Answer, error) {
 	x.sends.Add(1)
 	run := x.beginRun(to)
+	sentAt := time.Now()
 	r, err := x.f.opts.Pool.Do(ctx, to.Address, x.upstreamRequest(s))
 	if err != nil {
 		return nil, Answer{}, run.failure(ctx, err)
@@ -61,6 +62,9 @@
 	a := x.f.opts.Codec.ParseAnswer(resp.Status, resp.Header)
 	x.f.ApplyAvailability(to.Name, a)
 	if a.Executed {
+		if a.Proof || s.Stage == PromptOnly && resp.Status == http.StatusOK {
+			x.f.applyNoLimit(to.Name, a, sentAt)
+		}
 		return resp, a, nil
 	}
 	// A rejection's body is not needed; reading it allows the connection to be reused.
--- a/forward/availability.go
+++ b/forward/availability.go
@@ -17,10 +17,10 @@
 		f.opts.Gateway.SetAccepting(upstream, false)
 		f.opts.OnLeaving(upstream)
 	}
-	if a.LimitSign != NoLimit {
+	if a.LimitSign == LimitNamed {
 		f.metrics.limitAnswers.Inc()
-		f.opts.Log.Info("upstream named a limit", zap.String("upstream", upstream), zap.Float64("per_second", a.Limit),
-			zap.Bool("readable", a.LimitSign == LimitNamed))
+		f.opts.Gateway.LimitNamed(upstream, a.Limit)
+		f.opts.OnLimit()
 	}
 	if a.RetryAfter > 0 {
 		f.metrics.retryLaterAnswers.Inc()
@@ -29,10 +29,17 @@
 	}
 }
 
+// applyNoLimit records that an upstream has run a request sent at sentAt and names no limit in its answer.
+func (f *Front) applyNoLimit(upstream string, a Answer, sentAt time.Time) {
+	if a.LimitSign == NoLimit {
+		f.opts.Gateway.NoLimitNamed(upstream, sentAt)
+	}
+}
+
 // acceptsControlCalls reports whether this system may call an upstream, which it may not after the upstream has asked
-// for a pause.
+// for a pause or while it limits its requests.
 func (f *Front) acceptsControlCalls(ctx context.Context, upstream string) bool {
 	ok := false
-	err := f.opts.Gateway.Do(ctx, func(_ time.Duration, s *scheduler.Scheduler) { ok = !s.IsQuiet(upstream) })
+	err := f.opts.Gateway.Do(ctx, func(_ time.Duration, s *scheduler.Scheduler) { ok = s.AcceptsControlCalls(upstream) })
 	return err == nil && ok
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,6 +46,8 @@
 	OnPlaced func(parts []policy.Part, upstreams ...string)
 	// OnSend is called before each send.
 	OnSend func()
+	// OnLimit is called after an answer that names a limit of its upstream has been passed to the gateway.
+	OnLimit func()
 	// OnLeaving is called when an upstream states that it takes no new work, or when another upstream has its address.
 	OnLeaving func(upstream string)
 }
@@ -75,6 +77,9 @@
 	if o.OnSend == nil {
 		o.OnSend = func() {}
 	}
+	if o.OnLimit == nil {
+		o.OnLimit = func() {}
+	}
 	if o.OnLeaving == nil {
 		o.OnLeaving = func(string) {}
 	}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -24,6 +24,7 @@
 	evAbandoned    // the caller no longer waits for the request
 	evTick
 	evDo
+	evCall // as evDo, without a tick
 )
 
 // event is an input of the loop.
@@ -33,7 +34,7 @@
 	attempt int
 	n       int // tokens of evProgress; 1 or 0 as a flag of evHedgeSettled and evHedgeFailed
 	outcome policy.Outcome
-	do      func(now time.Duration, s *scheduler.Scheduler)
+	do      func(now time.Duration, s *scheduler.Scheduler) // of evDo and evCall
 }
 
 // action is an action of the scheduler with a copy of the data that the request's goroutine needs to carry it out.
@@ -64,6 +65,7 @@
 	orphans    []*policy.Request // dispatched or preempted, but no longer in flight
 	queued     atomic.Int64
 	running    atomic.Int64
+	limited    atomic.Bool // an upstream is limited
 }
 
 func newLoop(s *scheduler.Scheduler, size int, now func() time.Duration, startHedge func(*inFlight, action)) *loop {
@@ -105,6 +107,7 @@
 		l.handle(e)
 		l.queued.Store(int64(l.sched.Queued()))
 		l.running.Store(int64(l.sched.InFlight()))
+		l.limited.Store(l.sched.Limited())
 	}
 }
 
@@ -159,6 +162,8 @@
 	case evDo:
 		e.do(now, l.sched)
 		l.deliverAll(l.sched.Tick(now))
+	case evCall:
+		e.do(now, l.sched)
 	}
 	l.dropOrphans(now)
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -176,3 +176,18 @@
 func (g *Gateway) Quiet(name string, d time.Duration) {
 	g.loop.send(event{kind: evDo, do: func(now time.Duration, s *scheduler.Scheduler) { s.Quiet(now, name, d) }})
 }
+
+// LimitNamed records that an answer names a limit of its upstream. It does not wait for the scheduler.
+func (g *Gateway) LimitNamed(name string, perSecond float64) {
+	g.loop.send(event{kind: evCall, do: func(now time.Duration, s *scheduler.Scheduler) { s.AnswerLimit(now, name, true, perSecond, 0) }})
+}
+
+// NoLimitNamed records that the answer to a request sent at sentAt names no limit of its upstream. It does not wait for the
+// scheduler.
+func (g *Gateway) NoLimitNamed(name string, sentAt time.Time) {
+	if !g.loop.limited.Load() {
+		return
+	}
+	sent := g.SchedulerTime(sentAt)
+	g.loop.send(event{kind: evCall, do: func(now time.Duration, s *scheduler.Scheduler) { s.AnswerLimit(now, name, false, 0, sent) }})
+}
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -2,7 +2,7 @@
 //
 // Each entry VM sends the load that it has placed on each upstream; the sum over its peers is the load of an upstream
 // that it did not cause itself. Messages are datagrams: the next message makes up for a lost one. They also carry
-// upstreams found to be gone and requests that crash upstreams. In large fleets a relay of each data centre exchanges
+// upstreams found to be gone, limits that upstreams name and requests that crash upstreams. In large fleets a relay of each data centre exchanges
 // sums with the relays of the others.
 //
 // Invariants: the load of a peer expires after a bounded time; messages, tables and queues are bounded.
@@ -28,7 +28,7 @@
 	"bergamotcroft.example/bergamot/scheduler"
 )
 
-// Options configures an Exchange. All fields but OnGone, OnCrash and Log are required.
+// Options configures an Exchange. All fields but OnGone, OnCrash, OnLimit and Log are required.
 type Options struct {
 	List      membership.List
 	Transport membership.Transport
@@ -42,6 +42,9 @@
 	// OnCrash is called with each crash that a peer reports, possibly more than once. It must not block, and may be
 	// nil.
 	OnCrash func(Crash)
+	// OnLimit is called with each limit of an upstream that a peer reports, possibly more than once. It must not block, and
+	// may be nil.
+	OnLimit func(Limit)
 	Log     *zap.Logger
 }
 
@@ -83,6 +86,7 @@
 	receivedGone       []uint32             // hashes of upstreams reported as gone, not yet handled
 	pendingGone        notices[uint32]      // to be sent: hashes of upstreams that are gone
 	pendingCrashes     notices[Crash]       // to be sent
+	pendingLimits      limitQueue           // to be sent
 	peerLoads          map[uint32]load      // sums over all peers, by the upstream's hash
 	dirty              map[uint32]struct{}  // upstreams whose sum has changed since the last round
 
@@ -309,19 +313,19 @@
 	x.mu.Lock()
 	var placements []placement
 	placements, x.pendingPlacements = takeQueued(x.pendingPlacements, maxPlacements)
-	gone, crashes := x.pendingGone.take(maxGone), x.pendingCrashes.take(maxCrashes)
+	gone, crashes, limits := x.pendingGone.take(maxGone), x.pendingCrashes.take(maxCrashes), x.pendingLimits.take(now)
 	x.mu.Unlock()
 	idle := len(own) == 0 && len(x.lastOwn) == 0
 	due := refreshInterval
 	if idle {
 		due = keepAliveInterval
 	}
-	if len(placements)+len(gone)+len(crashes) == 0 && slices.Equal(own, x.lastOwn) && now.Sub(x.lastSent) < due {
+	if len(placements)+len(gone)+len(crashes)+len(limits) == 0 && slices.Equal(own, x.lastOwn) && now.Sub(x.lastSent) < due {
 		return
 	}
 	x.seq++
 	x.lastOwn, x.lastSent = own, now
-	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, placements: placements, gone: gone, crashes: crashes}
+	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, placements: placements, gone: gone, crashes: crashes, limits: limits}
 	x.sendMessage(x.recipients(), m)
 }
 
@@ -405,6 +409,7 @@
 	}
 	x.handleDirect(now, from, &m)
 	x.reportCrashes(&m)
+	x.reportLimits(now, &m)
 }
 
 // handleDirect merges a message that was not relayed, unless a newer one has arrived from the same peer.
@@ -423,6 +428,9 @@
 	if x.relaying.active {
 		x.relaying.gone.add(m.gone...)
 		x.relaying.crashes.add(m.crashes...)
+		for _, n := range m.limits {
+			x.relaying.limits.add(n.limit(now))
+		}
 	}
 	x.queueForScheduler(m)
 	x.TriggerRound()
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -96,9 +96,15 @@
 		for range rapid.IntRange(0, 5).Draw(t, "crashes") {
 			m.crashes = append(m.crashes, Crash{rapid.Uint64().Draw(t, "request"), rapid.Uint32().Draw(t, "crash")})
 		}
+		for range rapid.IntRange(0, 5).Draw(t, "limits") {
+			m.limits = append(m.limits, limitNotice{
+				rapid.Uint64().Draw(t, "limited"), rapid.Float64Range(0, 1e9).Draw(t, "rate"), rapid.Bool().Draw(t, "ended"),
+				time.Duration(rapid.IntRange(0, 1000).Draw(t, "age")) * time.Millisecond,
+			})
+		}
 		b := m.encode()
 		got, err := decode(b)
-		if err != nil || got.boot != m.boot || got.seq != m.seq || got.dataCentre != m.dataCentre || got.part != m.part || got.parts != m.parts || !slices.Equal(got.loads, m.loads) || len(got.placements) != len(m.placements) || !slices.Equal(got.gone, m.gone) || !slices.Equal(got.crashes, m.crashes) {
+		if err != nil || got.boot != m.boot || got.seq != m.seq || got.dataCentre != m.dataCentre || got.part != m.part || got.parts != m.parts || !slices.Equal(got.loads, m.loads) || len(got.placements) != len(m.placements) || !slices.Equal(got.gone, m.gone) || !slices.Equal(got.crashes, m.crashes) || !slices.Equal(got.limits, m.limits) {
 			t.Fatalf("%v: %+v is not %+v", err, got, m)
 		}
 		_, _ = decode(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")])
--- a/loads/message.go
+++ b/loads/message.go
@@ -19,6 +19,7 @@
 	gone       []uint32 // hashes of upstreams whose address another upstream has taken over
 	// crashes are requests that crashed an upstream, and changes of their state since.
 	crashes []Crash
+	limits  []limitNotice
 }
 
 // Crash reports that a request crashed an upstream, or a later state of that request.
@@ -86,7 +87,7 @@
 		b = binary.BigEndian.AppendUint64(b, c.Request)
 		b = binary.BigEndian.AppendUint32(b, c.ID)
 	}
-	return b
+	return appendLimits(b, m.limits)
 }
 
 // reader reads the fields of a datagram. malformed is set at the first field that does not fit.
@@ -148,6 +149,7 @@
 	for range r.count(maxCrashes) {
 		m.crashes = append(m.crashes, Crash{binary.BigEndian.Uint64(r.fixed(8)), binary.BigEndian.Uint32(r.fixed(4))})
 	}
+	m.limits = r.limits()
 	if r.malformed {
 		return message{}, errMalformed
 	}
--- a/loads/relay.go
+++ b/loads/relay.go
@@ -29,12 +29,13 @@
 	maxDataCentreBytes = 64
 )
 
-// relayState is the state of a relay. The lock of the Exchange guards active, placements, gone and crashes.
+// relayState is the state of a relay. The lock of the Exchange guards active, placements, gone, crashes and limits.
 type relayState struct {
 	active     bool // this VM is the relay of its data centre
 	placements []placement
 	gone       notices[uint32]
 	crashes    notices[Crash]
+	limits     limitQueue
 
 	relays         map[string]membership.Member // the relay of each data centre
 	relaysChosenAt time.Time
@@ -73,7 +74,7 @@
 	x.mu.Lock()
 	x.relaying.active = active
 	if !active {
-		x.relaying.placements, x.relaying.gone, x.relaying.crashes = nil, nil, nil
+		x.relaying.placements, x.relaying.gone, x.relaying.crashes, x.relaying.limits = nil, nil, nil, nil
 		x.mu.Unlock()
 		return
 	}
@@ -94,7 +95,8 @@
 	placements := x.relaying.placements
 	placements = placements[:min(len(placements), maxRelayedPlacements*parts)]
 	gone, crashes := x.relaying.gone.take(maxGone), x.relaying.crashes.take(maxCrashes)
-	if len(placements)+len(gone)+len(crashes) == 0 && slices.Equal(loads, x.relaying.lastSum) && now.Sub(x.relaying.sentAt) < refreshInterval {
+	limits := x.relaying.limits.take(now)
+	if len(placements)+len(gone)+len(crashes)+len(limits) == 0 && slices.Equal(loads, x.relaying.lastSum) && now.Sub(x.relaying.sentAt) < refreshInterval {
 		x.mu.Unlock()
 		return
 	}
@@ -120,6 +122,7 @@
 		m.placements, placements = placements[:n], placements[n:]
 		m.gone, gone = gone, nil // only in the first part
 		m.crashes, crashes = crashes, nil
+		m.limits, limits = limits, nil
 		x.sendMessage(to, m)
 	}
 }
@@ -147,6 +150,7 @@
 	x.mu.Unlock()
 	x.TriggerRound()
 	x.reportCrashes(&m)
+	x.reportLimits(now, &m)
 	if !active {
 		return
 	}
--- /dev/null
+++ b/permits/message.go
@@ -0,0 +1,164 @@
+package permits
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+	"time"
+
+	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/scheduler"
+)
+
+// message is the content of one datagram.
+type message struct {
+	boot    uint64 // of the sending process; grows with each start
+	seq     uint64
+	asks    []ask
+	answers []answer
+}
+
+// statement is what the sender knows about the limit of an upstream.
+type statement struct {
+	upstream  uint64 // hash of its name
+	named     bool
+	perSecond float64
+	age       time.Duration // since an answer of the upstream stated it
+}
+
+// ask is the demand of an entry VM for the permits of an upstream, in place of its earlier demand.
+type ask struct {
+	statement
+	demand   demand
+	returned int // unused permits that the VM gives back
+}
+
+// answer is the allocator's answer to an ask.
+type answer struct {
+	statement
+	granted int
+	backlog scheduler.LimitBacklog
+}
+
+const (
+	maxEntries  = 24 // asks and answers, each, in one datagram
+	maxCount    = 1 << 20
+	maxAge      = time.Hour
+	maxDatagram = 2048 // bytes, above the size of the largest message
+	// formatVersion begins each message and differs from the first byte of other messages under the same secret.
+	formatVersion = 0xb1
+)
+
+var errMalformed = errors.New("malformed permit message")
+
+func (m *message) encode() []byte {
+	b := make([]byte, 0, 128)
+	b = append(b, formatVersion)
+	b = binary.AppendUvarint(b, m.boot)
+	b = binary.AppendUvarint(b, m.seq)
+	b = binary.AppendUvarint(b, uint64(len(m.asks)))
+	for i := range m.asks {
+		x := &m.asks[i]
+		b = x.append(b)
+		for _, n := range x.demand {
+			b = binary.AppendUvarint(b, uint64(n))
+		}
+		b = binary.AppendUvarint(b, uint64(x.returned))
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.answers)))
+	for i := range m.answers {
+		x := &m.answers[i]
+		b = x.append(b)
+		b = binary.AppendUvarint(b, uint64(x.granted))
+		for _, n := range x.backlog.Waiting {
+			b = binary.AppendUvarint(b, uint64(n))
+		}
+		b = binary.AppendUvarint(b, uint64(x.backlog.VMs))
+	}
+	return b
+}
+
+func (s *statement) append(b []byte) []byte {
+	b = binary.BigEndian.AppendUint64(b, s.upstream)
+	named := byte(0)
+	if s.named {
+		named = 1
+	}
+	b = append(b, named)
+	b = binary.BigEndian.AppendUint32(b, math.Float32bits(float32(s.perSecond)))
+	return binary.AppendUvarint(b, uint64(s.age.Milliseconds()))
+}
+
+// reader reads the fields of a datagram. malformed is set at the first field that does not fit.
+type reader struct {
+	b         []byte
+	malformed bool
+}
+
+func (r *reader) fixed(n int) []byte {
+	if len(r.b) < n {
+		r.malformed, r.b = true, nil
+		return make([]byte, n)
+	}
+	v := r.b[:n]
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if n <= 0 {
+		r.malformed, r.b = true, nil
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+// count reads a number that is at most limit.
+func (r *reader) count(limit uint64) int {
+	n := r.uvarint()
+	if n > limit {
+		r.malformed = true
+		return 0
+	}
+	return int(n)
+}
+
+func (r *reader) statement() statement {
+	s := statement{upstream: binary.BigEndian.Uint64(r.fixed(8)), named: r.fixed(1)[0] == 1}
+	s.perSecond = float64(math.Float32frombits(binary.BigEndian.Uint32(r.fixed(4))))
+	s.age = time.Duration(r.count(uint64(maxAge.Milliseconds()))) * time.Millisecond
+	if math.IsNaN(s.perSecond) || math.IsInf(s.perSecond, 0) || s.perSecond < 0 {
+		r.malformed = true
+	}
+	return s
+}
+
+func decode(b []byte) (message, error) {
+	r := reader{b: b}
+	if r.fixed(1)[0] != formatVersion {
+		return message{}, errMalformed
+	}
+	m := message{boot: r.uvarint(), seq: r.uvarint()}
+	for range r.count(maxEntries) {
+		x := ask{statement: r.statement()}
+		for i := range levels {
+			x.demand[i] = r.count(maxCount)
+		}
+		x.returned = r.count(maxCount)
+		m.asks = append(m.asks, x)
+	}
+	for range r.count(maxEntries) {
+		x := answer{statement: r.statement(), granted: r.count(maxCount)}
+		for i := range policy.Priorities {
+			x.backlog.Waiting[i] = r.count(maxCount)
+		}
+		x.backlog.VMs = r.count(maxCount)
+		m.answers = append(m.answers, x)
+	}
+	if r.malformed {
+		return message{}, errMalformed
+	}
+	return m, nil
+}
--- a/policy/admission/unavailable.go
+++ b/policy/admission/unavailable.go
@@ -16,22 +16,30 @@
 )
 
 // admitWithoutUpstream returns the verdict on a request that no upstream can take now. The request is admitted to the
-// queue if an upstream accepts work, or is quiet but accepts work again in time. Otherwise it is refused at once. Its
-// RetryAfter is the time until the first quiet upstream accepts work, plus a spread so that callers do not all retry
-// together, or retry if no upstream is quiet.
+// queue if an upstream accepts work, or is quiet but accepts work again in time. If all that accept work are limited,
+// limitedWait, the expected time until its turn, must be within its deadline. Otherwise the request is refused at once.
+// Its RetryAfter is the time until the first quiet upstream accepts work, or until the requests that wait for the limited
+// ones have been served, plus a spread so that callers do not all retry together; or retry in other cases.
 //
-// Without it, callers of a service whose servers all leave, fail or ask for quiet would wait until their deadlines.
-func admitWithoutUpstream(now time.Duration, r *policy.Request, f *policy.Fleet, retry time.Duration) policy.Verdict {
-	if f.AnyAccepting(r) {
+// Without it, callers of a service whose servers all leave, fail, ask for quiet or limit their requests would wait until
+// their deadlines.
+func admitWithoutUpstream(now time.Duration, r *policy.Request, f *policy.Fleet, retry, limitedWait time.Duration) policy.Verdict {
+	_, limited := f.LimitedRate(r)
+	back, quiet := f.EarliestReturn(r)
+	inTime := func(at time.Duration) bool { return at+minServiceTime < r.GiveUpAt() }
+	switch {
+	case !limited && f.AnyAccepting(r), limited && inTime(now+limitedWait), quiet && inTime(back):
 		return policy.Verdict{Admit: true}
-	}
-	back, ok := f.EarliestReturn(r)
-	if !ok {
+	case limited:
+		return policy.Verdict{Code: result.CannotMeetDeadline, RetryAfter: limitedWait + spread(r, limitedWait+retrySpread)}
+	case quiet:
+		return policy.Verdict{Code: result.NoUpstream, RetryAfter: back - now + spread(r, retrySpread)}
+	default:
 		return policy.Verdict{Code: result.NoUpstream, RetryAfter: retry}
 	}
-	if back+minServiceTime < r.GiveUpAt() {
-		return policy.Verdict{Admit: true}
-	}
-	spread := time.Duration(policy.Mix64(r.ID) % uint64(retrySpread))
-	return policy.Verdict{Code: result.NoUpstream, RetryAfter: back - now + spread}
+}
+
+// spread returns a part of limit that differs between requests.
+func spread(r *policy.Request, limit time.Duration) time.Duration {
+	return time.Duration(policy.Mix64(r.ID) % uint64(limit))
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -87,6 +87,7 @@
 	Backlog        float64       // prompt tokens that Prefill was expected to compute before this request
 	ComputingAt    *Upstream     // upstream whose Computing counts the request, or nil
 	PromptDone     bool          // Prefill has computed the prompt; the first token may still be missing
+	DecodePermit   bool          // a permit for Decode, another upstream than Prefill, is reserved until PromptDone
 	PossibleRuns   int           // attempts that may have run
 	UnsentAttempts int           // attempts that failed before anything was sent
 	ExpectedFirst  time.Duration // time to the first token, from dispatch
@@ -183,8 +184,13 @@
 	Quiet, AcceptsAfterQuiet bool
 	QuietUntil               time.Duration
 	Allowance                int
-	Role                     topo.Role
-	Hash                     uint64 // of the name; the same at all entry VMs
+	// Limited is set while the upstream limits the requests that it takes from all entry VMs together, to Limit per second.
+	// It then takes each request for a permit only; Permits is the number at hand.
+	Limited bool
+	Limit   float64
+	Permits int
+	Role    topo.Role
+	Hash    uint64 // of the name; the same at all entry VMs
 	// Rank is the position among the model's accepting engines for both phases, the same at all entry VMs, or None.
 	Rank int
 
@@ -209,6 +215,15 @@
 // CanTake reports whether u may get r now. At most one own suspect runs at an upstream, so that a crash there identifies
 // the request that caused it.
 func (u *Upstream) CanTake(r *Request) bool {
+	return u.canTakeWithPermit(r) && (!u.Limited || u.Permits > 0)
+}
+
+// LacksPermit reports whether u could take r but for a permit.
+func (u *Upstream) LacksPermit(r *Request) bool {
+	return u.Limited && u.Permits == 0 && u.canTakeWithPermit(r)
+}
+
+func (u *Upstream) canTakeWithPermit(r *Request) bool {
 	return u.Accepting && (!r.Suspect || u.OwnSuspects == 0) && (u.Allowance == 0 || u.OwnRunning < u.Allowance)
 }
 
@@ -261,6 +276,22 @@
 	return false
 }
 
+// LimitedRate returns the requests per second that the accepting upstreams for r take together. ok is false if one of them
+// is not limited, or none accepts work.
+func (f *Fleet) LimitedRate(r *Request) (perSecond float64, ok bool) {
+	for _, i := range f.Candidates(r) {
+		u := f.Upstreams[i]
+		switch {
+		case !u.Accepting:
+		case !u.Limited:
+			return 0, false
+		default:
+			perSecond, ok = perSecond+u.Limit, true
+		}
+	}
+	return perSecond, ok
+}
+
 // EarliestReturn returns the earliest time at which a quiet upstream that serves r accepts work again. ok is false if
 // there is none.
 func (f *Fleet) EarliestReturn(r *Request) (at time.Duration, ok bool) {
@@ -282,6 +313,8 @@
 	Defer      bool          // the request should wait in the entry VM's queue instead of starting now
 	Backlog    float64       // prompt tokens that Prefill computes before this request
 	Source     *Upstream     // engine from which Prefill fetches cached pieces, or nil
+	// WithPermit is the limited upstream that would have been chosen if a permit were at hand, or nil.
+	WithPermit *Upstream
 }
 
 // Router picks an upstream.
@@ -314,6 +347,8 @@
 	Capacity int
 	// WaitAhead is the expected time until the requests queued ahead of r have been dispatched.
 	WaitAhead time.Duration
+	// LimitedWait is the expected time until r gets its turn, if all upstreams that accept it are limited.
+	LimitedWait time.Duration
 }
 
 // Admitter decides which requests are admitted, and the order in which queued requests are dispatched.
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -168,31 +168,36 @@
 		return p.routeService(now, r, f, list)
 	}
 	var best plan
+	var withPermit *policy.Upstream
 	for relaxed := range 2 {
-		best = p.bestPlan(now, r, f, list, relaxed == 1)
+		best, withPermit = p.bestPlan(now, r, f, list, relaxed == 1)
 		if best.prefill != nil {
 			break
 		}
 	}
 	if best.prefill == nil {
-		return policy.Choice{Prefill: policy.None, Decode: policy.None}
+		return policy.Choice{Prefill: policy.None, Decode: policy.None, WithPermit: withPermit}
 	}
 	output := max(r.ExpectedOutput-float64(r.Generated), 1) * p.tokenSeconds
 	return policy.Choice{
 		Prefill: best.prefill.Index, Decode: best.decode.Index, Cached: best.cached, Backlog: best.backlog, Source: best.source,
-		FirstToken: seconds(best.firstToken), Finish: seconds(best.firstToken + output),
+		WithPermit: withPermit, FirstToken: seconds(best.firstToken), Finish: seconds(best.firstToken + output),
 		Defer: best.full || best.wait > p.MaxBacklogMS/1000,
 	}
 }
 
-func (p *Measured) bestPlan(now time.Duration, r *policy.Request, f *policy.Fleet, list []int, relaxed bool) plan {
-	best := plan{score: math.Inf(1)}
+// bestPlan returns the plan with the least score, without a prefill engine if there is none, and the limited engine of a
+// better plan that lacks only a permit, or nil.
+func (p *Measured) bestPlan(now time.Duration, r *policy.Request, f *policy.Fleet, list []int, relaxed bool) (best plan, withPermit *policy.Upstream) {
+	best = plan{score: math.Inf(1)}
+	leastWithPermit := math.Inf(1)
 	holder, held := p.cacheHolder(r, f, list)
 	home := p.homeEngine(r, f, list)
-	decoder := p.bestDecoder(now, r, f, list, relaxed)
+	decoder, decoderWithPermit := p.bestDecoder(now, r, f, list, relaxed)
 	for _, i := range list {
 		u := f.Upstreams[i]
-		if !u.CanTake(r) || !relaxed && (r.Avoids(i) || f.Health.Excluded(now, i)) {
+		lacksPermit := u.LacksPermit(r)
+		if !lacksPermit && !u.CanTake(r) || !relaxed && (r.Avoids(i) || f.Health.Excluded(now, i)) {
 			continue
 		}
 		q := p.planAt(now, r, f, u)
@@ -221,11 +226,21 @@
 		if q.full {
 			q.score += 1
 		}
-		if q.score < best.score {
+		q.score -= permitBonus(u)
+		switch {
+		case lacksPermit && q.score < leastWithPermit:
+			withPermit, leastWithPermit = u, q.score
+		case !lacksPermit && q.score < best.score:
 			best = q
 		}
 	}
-	return best
+	if leastWithPermit >= best.score {
+		withPermit = nil
+		if best.decode != best.prefill || best.prefill == nil {
+			withPermit = decoderWithPermit
+		}
+	}
+	return best, withPermit
 }
 
 // tieBreak returns a small random charge, so that entry VMs with equal choices pick different engines.
@@ -235,6 +250,16 @@
 	return spread * float64(policy.Mix64(p.state)>>40) / (1 << 24)
 }
 
+// permitBonus returns the preference for a limited upstream, in seconds. A permit that is not used is capacity lost, while the
+// other upstreams stay free for later requests.
+func permitBonus(u *policy.Upstream) float64 {
+	const bonus = 0.02
+	if u.Limited {
+		return bonus
+	}
+	return 0
+}
+
 // distanceCharge returns the charge for sending r to u. Traffic between data centres is expensive, and most of it is prompts.
 func (p *Measured) distanceCharge(r *policy.Request, u *policy.Upstream) float64 {
 	if p.DataCentre == "" || u.Spec.DataCentre == p.DataCentre {
@@ -278,14 +303,15 @@
 	return p.HandOverMS/1000 + p.moveSeconds(float64(r.PromptTokens), from, to)
 }
 
-// cacheHolder returns the accepting engine that has cached the most pieces of the prompt, and their number.
+// cacheHolder returns the accepting engine that has cached the most pieces of the prompt, and their number. Limited engines
+// are left out, since a fetch is another request to them.
 func (p *Measured) cacheHolder(r *policy.Request, f *policy.Fleet, list []int) (best *policy.Upstream, held int) {
 	if len(r.Prefix) == 0 {
 		return nil, 0
 	}
 	for _, i := range list {
 		u := f.Upstreams[i]
-		if u.Cache == nil || !u.Accepting || u.Computing[r.Prefix[0]] > 0 {
+		if u.Cache == nil || !u.Accepting || u.Limited || u.Computing[r.Prefix[0]] > 0 {
 			continue
 		}
 		if n := u.Cache.Match(r.Prefix); n > held {
@@ -305,7 +331,7 @@
 	most := uint64(0)
 	for _, i := range list {
 		u := f.Upstreams[i]
-		if !u.Accepting {
+		if !u.Accepting || u.Limited {
 			continue
 		}
 		if best != nil && rateClass(best) < rateClass(u) {
@@ -319,31 +345,38 @@
 	return best
 }
 
-// bestDecoder returns the engine that takes over a prompt computed elsewhere, or nil.
-func (p *Measured) bestDecoder(now time.Duration, r *policy.Request, f *policy.Fleet, list []int, relaxed bool) *policy.Upstream {
-	var best *policy.Upstream
-	least := math.Inf(1)
+// bestDecoder returns the engine that takes over a prompt computed elsewhere, or nil, and the limited engine that would if a
+// permit were at hand, or nil.
+func (p *Measured) bestDecoder(now time.Duration, r *policy.Request, f *policy.Fleet, list []int, relaxed bool) (best, withPermit *policy.Upstream) {
+	least, leastWithPermit := math.Inf(1), math.Inf(1)
 	for _, i := range list {
 		u := f.Upstreams[i]
-		if !u.CanTake(r) || u.Role == topo.RolePrefill || !relaxed && (r.Avoids(i) || f.Health.Excluded(now, i)) {
+		lacksPermit := u.LacksPermit(r)
+		if !lacksPermit && !u.CanTake(r) || u.Role == topo.RolePrefill || !relaxed && (r.Avoids(i) || f.Health.Excluded(now, i)) {
 			continue
 		}
-		load := p.streamSlowdown(now, u) + p.tieBreak() + p.distanceCharge(r, u)
+		load := p.streamSlowdown(now, u) + p.tieBreak() + p.distanceCharge(r, u) - permitBonus(u)
 		if p.isFull(r, u) {
 			load += 1
 		}
-		if load < least {
+		switch {
+		case lacksPermit && load < leastWithPermit:
+			withPermit, leastWithPermit = u, load
+		case !lacksPermit && load < least:
 			best, least = u, load
 		}
 	}
-	return best
+	if leastWithPermit >= least {
+		withPermit = nil
+	}
+	return best, withPermit
 }
 
 // PickDecoder implements policy.DecoderPicker.
 func (p *Measured) PickDecoder(now time.Duration, r *policy.Request, f *policy.Fleet) int {
 	list := f.Candidates(r)
 	for relaxed := range 2 {
-		if u := p.bestDecoder(now, r, f, list, relaxed == 1); u != nil {
+		if u, _ := p.bestDecoder(now, r, f, list, relaxed == 1); u != nil {
 			return u.Index
 		}
 	}
@@ -368,14 +401,20 @@
 
 // routeService routes a call of a plain service to the server with the least load relative to its speed.
 func (p *Measured) routeService(now time.Duration, r *policy.Request, f *policy.Fleet, list []int) policy.Choice {
-	best, least := (*policy.Upstream)(nil), math.Inf(1)
+	best, withPermit := (*policy.Upstream)(nil), (*policy.Upstream)(nil)
+	least, leastWithPermit := math.Inf(1), math.Inf(1)
 	for relaxed := range 2 {
 		for _, i := range list {
 			u := f.Upstreams[i]
-			if !u.CanTake(r) || relaxed == 0 && (r.Avoids(i) || f.Health.Excluded(now, i)) {
+			lacksPermit := u.LacksPermit(r)
+			if !lacksPermit && !u.CanTake(r) || relaxed == 0 && (r.Avoids(i) || f.Health.Excluded(now, i)) {
 				continue
 			}
-			if t := serviceEstimate(u, f.Health.Factor(i)).firstToken + p.tieBreak(); t < least {
+			t := serviceEstimate(u, f.Health.Factor(i)).firstToken + p.tieBreak() - permitBonus(u)
+			switch {
+			case lacksPermit && t < leastWithPermit:
+				withPermit, leastWithPermit = u, t
+			case !lacksPermit && t < least:
 				best, least = u, t
 			}
 		}
@@ -383,11 +422,15 @@
 			break
 		}
 	}
+	if leastWithPermit >= least {
+		withPermit = nil
+	}
 	if best == nil {
-		return policy.Choice{Prefill: policy.None, Decode: policy.None}
+		return policy.Choice{Prefill: policy.None, Decode: policy.None, WithPermit: withPermit}
 	}
 	full := float64(best.OwnRunning+best.OtherRunning()) >= p.Oversubscribe*float64(max(best.Spec.MaxBatch, 1))
 	return policy.Choice{
-		Prefill: best.Index, Decode: best.Index, FirstToken: seconds(least), Finish: seconds(least), Defer: full,
+		Prefill: best.Index, Decode: best.Index, FirstToken: seconds(least + permitBonus(best)), Finish: seconds(least + permitBonus(best)), Defer: full,
+		WithPermit: withPermit,
 	}
 }
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -29,6 +29,7 @@
 	Instance string
 	Role     topo.Role
 	Leaving  bool
+	Limited  bool    // counts among its set, but gets no order
 	Load     float64 // open requests of all entry VMs
 }
 
@@ -231,7 +232,7 @@
 	}
 	var candidates []Engine
 	for i := range list {
-		if list[i].Role == from {
+		if list[i].Role == from && !list[i].Limited {
 			candidates = append(candidates, list[i])
 		}
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -78,6 +78,22 @@
 	return time.Duration(ahead) * q.departureInterval
 }
 
+// aheadOf returns the number of queued requests of r's priority that are ordered before r, which is not queued, and one more,
+// as turns vary and a refusal on arrival is better than one after a wait. It returns 0 if no upstream is limited, since only
+// limitedWait uses it.
+func (s *Scheduler) aheadOf(q *queue, r *policy.Request) int {
+	if len(s.limits) == 0 {
+		return 0
+	}
+	n := 1
+	for _, other := range q.items {
+		if priorityLevel(other) == priorityLevel(r) && q.less(other, r) {
+			n++
+		}
+	}
+	return n
+}
+
 // recordDeparture updates the moving mean of the interval between departures.
 func (q *queue) recordDeparture(now time.Duration) {
 	const smoothing = 0.1
--- a/scheduler/quiet.go
+++ b/scheduler/quiet.go
@@ -26,18 +26,32 @@
 	u := s.fleet.Upstreams[i]
 	u.QuietUntil = max(u.QuietUntil, now+d)
 	u.Quiet, u.Allowance = true, 0
+	s.watchQuiet(u)
+	if s.updateAccepting(u) {
+		s.updateRanks()
+	}
+}
+
+func (s *Scheduler) watchQuiet(u *policy.Upstream) {
 	if !slices.Contains(s.quietUpstreams, u) {
 		s.quietUpstreams = append(s.quietUpstreams, u)
 	}
-	if s.updateAccepting(u) {
-		s.updateRanks()
+}
+
+// rampUp limits the requests in flight at an upstream by an allowance from now on, as after a quiet period.
+func (s *Scheduler) rampUp(now time.Duration, u *policy.Upstream) {
+	if u.Quiet {
+		return
 	}
+	u.QuietUntil, u.Allowance = now, 1
+	s.watchQuiet(u)
 }
 
-// IsQuiet reports whether an upstream is in a quiet period that it asked for.
-func (s *Scheduler) IsQuiet(name string) bool {
+// AcceptsControlCalls reports whether calls that serve no caller may be sent to an upstream: it has not asked for quiet and
+// does not limit its requests.
+func (s *Scheduler) AcceptsControlCalls(name string) bool {
 	i, ok := s.byName[name]
-	return ok && s.fleet.Upstreams[i].Quiet
+	return !ok || !s.fleet.Upstreams[i].Quiet && !s.fleet.Upstreams[i].Limited
 }
 
 // endQuiet ends the quiet periods that are over and raises the allowances of the upstreams that are back.
@@ -86,22 +100,41 @@
 }
 
 // refuseHopeless refuses queued requests for which no upstream will accept work in time. It runs after an upstream has
-// stopped accepting work, so that these requests do not wait for their deadlines.
+// stopped accepting work or lowered its limit, and periodically while upstreams are limited, so that these requests do not
+// wait for their deadlines.
 func (s *Scheduler) refuseHopeless(now time.Duration) {
-	if !s.capacityLost {
+	if review := s.reviewDue(now); !s.capacityLost && !review {
 		return
 	}
 	s.capacityLost = false
 	for _, q := range s.sortedQueues {
-		if q.Len() == 0 || s.fleet.AnyAccepting(q.items[0]) {
+		if q.Len() == 0 {
 			continue
 		}
-		for _, r := range slices.Clone(q.items) {
-			none := policy.Choice{Prefill: policy.None, Decode: policy.None}
-			if v := s.admit(now, r, none, q); !v.Admit && q.remove(r) {
-				s.queued--
-				s.refuse(now, r, v.Code, v.RetryAfter)
-			}
+		if _, limited := s.fleet.LimitedRate(q.items[0]); !limited && s.fleet.AnyAccepting(q.items[0]) {
+			continue
+		}
+		s.refuseHopelessIn(now, q)
+	}
+}
+
+func (s *Scheduler) refuseHopelessIn(now time.Duration, q *queue) {
+	list := slices.Clone(q.items)
+	slices.SortFunc(list, func(a, b *policy.Request) int {
+		if s.less(a, b) {
+			return -1
+		}
+		return 1
+	})
+	none := policy.Choice{Prefill: policy.None, Decode: policy.None}
+	var ahead [policy.Priorities]int
+	for _, r := range list {
+		level := priorityLevel(r)
+		if v := s.admit(now, r, none, q, ahead[level]); v.Admit {
+			ahead[level]++
+		} else if q.remove(r) {
+			s.queued--
+			s.refuse(now, r, v.Code, v.RetryAfter)
 		}
 	}
 }
@@ -117,6 +150,8 @@
 		return "asked for quiet"
 	case !u.Accepting:
 		return "leaving"
+	case u.Limited:
+		return "limited"
 	case !s.opts.Health.Excluded(now, i):
 		return ""
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -40,17 +40,19 @@
 	queues         map[string]*queue
 	sortedQueues   []*queue // by key; draining in map order would not be reproducible
 	queued         int
-	running        []*policy.Request    // dispatched and not finished
-	notAccepting   map[string]bool      // names of upstreams for which SetAccepting was last called with false
-	mayHaveRun     map[uint64]bool      // requests with an attempt that may have run
-	callTimes      map[string]*estimate // by service
-	outputTokens   map[string]*estimate // by request class
-	mixMeters      map[string]*mixMeter // by model
-	actions        []Action             // returned by the event methods; reused by each call
-	requeue        []*policy.Request    // buffer of drainQueue
-	histories      []history            // by upstream index
-	quietUpstreams []*policy.Upstream   // quiet, or back with an allowance that still limits them
-	capacityLost   bool                 // an upstream stopped accepting work after the last refuseHopeless
+	running        []*policy.Request      // dispatched and not finished
+	notAccepting   map[string]bool        // names of upstreams for which SetAccepting was last called with false
+	mayHaveRun     map[uint64]bool        // requests with an attempt that may have run
+	callTimes      map[string]*estimate   // by service
+	outputTokens   map[string]*estimate   // by request class
+	mixMeters      map[string]*mixMeter   // by model
+	actions        []Action               // returned by the event methods; reused by each call
+	requeue        []*policy.Request      // buffer of drainQueue
+	histories      []history              // by upstream index
+	quietUpstreams []*policy.Upstream     // quiet, or back with an allowance that still limits them
+	capacityLost   bool                   // an upstream stopped accepting work or lowered its limit after the last refuseHopeless
+	limits         map[uint64]*limitState // by the hash of the upstream's name
+	nextReview     time.Duration          // of the requests that wait for limited upstreams
 }
 
 // New returns a Scheduler without upstreams.
@@ -64,6 +66,7 @@
 		mayHaveRun:   map[uint64]bool{},
 		outputTokens: map[string]*estimate{},
 		mixMeters:    map[string]*mixMeter{},
+		limits:       map[uint64]*limitState{},
 	}
 	s.fleet.Health = o.Health
 	return s
@@ -82,6 +85,7 @@
 func (s *Scheduler) Offer(now time.Duration, r *policy.Request) []Action {
 	s.actions = s.actions[:0]
 	s.endQuiet(now)
+	s.expirePermits(now)
 	r.Prefill, r.Decode, r.Avoid, r.InFlightIndex = policy.None, policy.None, policy.None, policy.None
 	r.AvoidDecode, r.HedgePrefill, r.HedgeDecode = policy.None, policy.None, policy.None
 	s.expectOutput(now, r)
@@ -104,8 +108,9 @@
 		return
 	}
 	choice := s.opts.Router.Route(now, r, &s.fleet)
+	s.recordMissed(now, choice)
 	r.Cached = choice.Cached
-	if v := s.admit(now, r, choice, q); !v.Admit {
+	if v := s.admit(now, r, choice, q, s.aheadOf(q, r)); !v.Admit {
 		s.refuse(now, r, v.Code, v.RetryAfter)
 		return
 	}
@@ -114,7 +119,7 @@
 		return
 	}
 	if s.queued >= s.opts.QueueCapacity && r.Generated == 0 && !r.Suspect {
-		s.refuse(now, r, result.Overloaded, s.retryAfter(s.queueView(q, r)))
+		s.refuse(now, r, result.Overloaded, s.retryAfter(s.queueView(now, q, r, s.aheadOf(q, r))))
 		return
 	}
 	q.push(now, r)
@@ -131,12 +136,13 @@
 }
 
 // admit asks the admitter for a verdict. It always admits requests whose answer has begun, since a refusal would cut
-// the answer, and suspects, which were admitted before the crash.
-func (s *Scheduler) admit(now time.Duration, r *policy.Request, c policy.Choice, q *queue) policy.Verdict {
+// the answer, and suspects, which were admitted before the crash. ahead is the number of requests of r's priority that wait
+// before it.
+func (s *Scheduler) admit(now time.Duration, r *policy.Request, c policy.Choice, q *queue, ahead int) policy.Verdict {
 	if r.Generated > 0 || r.Suspect {
 		return policy.Verdict{Admit: true}
 	}
-	return s.opts.Admitter.Admit(now, r, &s.fleet, c, s.queueView(q, r))
+	return s.opts.Admitter.Admit(now, r, &s.fleet, c, s.queueView(now, q, r, ahead))
 }
 
 func (s *Scheduler) dispatch(now time.Duration, r *policy.Request, c policy.Choice, delay time.Duration) {
@@ -152,6 +158,7 @@
 	r.Attempts++
 	r.Split = c.Decode != c.Prefill
 	s.addInFlight(r)
+	s.usePermits(now, r, currentAttempt(r))
 	s.addLoad(r, currentAttempt(r))
 	s.insertPrefix(now, r, c.Prefill)
 	s.actions = append(s.actions, Action{Kind: Dispatch, Request: r, Prefill: c.Prefill, Decode: c.Decode, Source: c.Source, Delay: delay})
@@ -210,13 +217,18 @@
 
 // repickDecoder asks the router for a decoder again, moves r's load to it and returns it, or None.
 func (s *Scheduler) repickDecoder(now time.Duration, r *policy.Request) int {
+	s.releaseDecodePermit(now, r)
 	decode := r.Decode
 	if p, ok := s.opts.Router.(policy.DecoderPicker); ok {
 		decode = p.PickDecoder(now, r, &s.fleet)
 	}
-	if decode == policy.None || !s.fleet.Upstreams[decode].Accepting {
+	if decode == policy.None {
 		return policy.None
 	}
+	if u := s.fleet.Upstreams[decode]; !u.Accepting || u.Limited && u.Permits == 0 {
+		return policy.None
+	}
+	s.usePermit(now, decode)
 	if decode == r.Decode {
 		return decode
 	}
@@ -282,6 +294,7 @@
 		return nil
 	}
 	s.HedgeSettled(now, r, false)
+	s.releaseDecodePermit(now, r)
 	s.observeEnd(now, r, o)
 	s.removeLoad(r, currentAttempt(r))
 	s.removeInFlight(r)
@@ -368,6 +381,7 @@
 	s.actions = s.actions[:0]
 	s.expireReports(now)
 	s.endQuiet(now)
+	s.expirePermits(now)
 	s.refuseHopeless(now)
 	s.checkInFlight(now)
 	s.rescue(now)
@@ -397,7 +411,7 @@
 			kept = append(kept, r) // no upstream is free for a suspect; skip it without counting a try
 			continue
 		}
-		if s.leaveQueue(now, q, r) {
+		if s.leaveQueue(now, q, r, len(kept)) {
 			continue
 		}
 		if r.Suspect {
@@ -413,8 +427,9 @@
 	s.requeue = kept
 }
 
-// leaveQueue dispatches or refuses r, which has been popped from q. It returns false if r must keep waiting.
-func (s *Scheduler) leaveQueue(now time.Duration, q *queue, r *policy.Request) bool {
+// leaveQueue dispatches or refuses r, which has been popped from q after ahead requests that keep waiting. It returns false
+// if r must keep waiting, too.
+func (s *Scheduler) leaveQueue(now time.Duration, q *queue, r *policy.Request, ahead int) bool {
 	if now >= r.GiveUpAt() && r.Generated == 0 {
 		s.queued--
 		s.refuse(now, r, result.CannotMeetDeadline, time.Second)
@@ -424,7 +439,7 @@
 		return false
 	}
 	c := s.opts.Router.Route(now, r, &s.fleet)
-	if v := s.admit(now, r, c, q); !v.Admit {
+	if v := s.admit(now, r, c, q, ahead); !v.Admit {
 		s.queued--
 		s.refuse(now, r, v.Code, v.RetryAfter)
 		return true
@@ -442,6 +457,6 @@
 	return min(max(v.WaitAhead, 200*time.Millisecond), 10*time.Second)
 }
 
-func (s *Scheduler) queueView(q *queue, r *policy.Request) policy.QueueView {
-	return policy.QueueView{Len: s.queued, Capacity: s.opts.QueueCapacity, WaitAhead: q.waitAhead(r)}
+func (s *Scheduler) queueView(now time.Duration, q *queue, r *policy.Request, ahead int) policy.QueueView {
+	return policy.QueueView{Len: s.queued, Capacity: s.opts.QueueCapacity, WaitAhead: q.waitAhead(r), LimitedWait: s.limitedWait(now, q, r, ahead)}
 }
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -51,6 +51,7 @@
 // giveUp refuses a request that has produced no token by its deadline. The driver cancels its attempts.
 func (s *Scheduler) giveUp(now time.Duration, r *policy.Request) {
 	s.HedgeSettled(now, r, false)
+	s.releaseDecodePermit(now, r)
 	s.measureFirst(now, r)
 	s.removeLoad(r, currentAttempt(r))
 	s.removeInFlight(r)
@@ -97,6 +98,9 @@
 	if c.Prefill == policy.None || c.Prefill == r.Prefill || c.Defer {
 		return
 	}
+	if s.fleet.Upstreams[c.Prefill].Limited || s.fleet.Upstreams[c.Decode].Limited {
+		return // a permit serves more callers as a first attempt
+	}
 	s.opts.Retry.Hedged(now, r)
 	s.startHedge(now, r, c)
 }
@@ -123,12 +127,14 @@
 	for _, i := range s.fleet.Candidates(r) {
 		u := s.fleet.Upstreams[i]
 		// A decode-only engine computes no first token, so a probe can't measure it; its exclusion ends after a time.
-		if i == r.Prefill || !u.Accepting || u.Role == topo.RoleDecode || !s.opts.Health.Probe(now, i, r) {
+		if i == r.Prefill || !u.Accepting || u.Limited || u.Role == topo.RoleDecode || !s.opts.Health.Probe(now, i, r) {
 			continue
 		}
 		c := policy.Choice{Prefill: i, Decode: i, FirstToken: prefillTime(u, r)}
 		if u.Role == topo.RolePrefill {
-			c.Decode = r.Decode
+			if c.Decode = r.Decode; s.fleet.Upstreams[c.Decode].Limited {
+				return
+			}
 		}
 		s.startHedge(now, r, c)
 		return
@@ -153,6 +159,7 @@
 	s.mayHaveRun[r.ID] = true // the losing attempt may have run, however it ended
 	loser := hedgeAttempt(r)
 	if won {
+		s.releaseDecodePermit(now, r)
 		loser = currentAttempt(r)
 		s.observeOvertaken(now, r.Prefill, r.Dispatched, r.NominalFirst)
 		r.Prefill, r.Decode, r.Cached = r.HedgePrefill, r.HedgeDecode, r.HedgeCached
