--- a/policy/policy.go
+++ b/policy/policy.go
@@ -277,12 +277,12 @@
 }
 
 // LimitedRate returns the requests per second that the accepting upstreams for r take together. ok is false if one of them
-// is not limited, or none accepts work.
+// is not limited, or none accepts work. Engines that only compute prompts don't count, since others have to generate.
 func (f *Fleet) LimitedRate(r *Request) (perSecond float64, ok bool) {
 	for _, i := range f.Candidates(r) {
 		u := f.Upstreams[i]
 		switch {
-		case !u.Accepting:
+		case !u.Accepting || u.Role == topo.RolePrefill:
 		case !u.Limited:
 			return 0, false
 		default:
