Share scarce permits by weight, and refuse early what would miss its target

Cause: requests were queued as long as their deadline allowed, so that each one served had waited for seconds; the estimate of the wait knew neither the turn of its VM nor the other VMs' newest demand; and a strict order by priority gave cheap requests the whole limit, which counts requests and not work.

Change: the allocator shares permits between levels (priority, and whether a request may be repeated) by weight and tells each VM its turn; queues for limited upstreams alone are ordered by fair queueing over classes with the same weights. Once limits have forced a refusal, requests that would miss their target are refused within 150 ms of their arrival; without that they are queued for up to a second.

--- a/permits/allocator.go
+++ b/permits/allocator.go
@@ -8,9 +8,12 @@
 	"bergamotcroft.example/bergamot/scheduler"
 )
 
-// levels is the number of levels of urgency: the priorities of waiting requests, then permits for requests that are only
-// expected.
-const levels = policy.Priorities + 1
+// levels is the number of levels of demand: the share levels of waiting requests, and permits for expected requests, which are
+// granted last.
+const (
+	levels   = policy.ShareLevels + 1
+	expected = levels - 1
+)
 
 // demand is the number of permits that an entry VM asks for, by level.
 type demand [levels]int
@@ -31,7 +34,8 @@
 )
 
 // allocator distributes the permits of upstreams among the entry VMs that ask for them. Permits accrue at the limit, as in a
-// token bucket, and go to the most urgent demand first, and to the VMs with demand of that urgency in turn.
+// token bucket. The levels of waiting requests share them by weight (start-time fair queueing), and the VMs with demand of a level
+// get them in turn.
 //
 // It reads no clock and sends nothing.
 type allocator struct {
@@ -45,8 +49,15 @@
 	refilledAt time.Time
 	beganAt    time.Time
 	asking     map[string]*request // by VM
-	turns      [levels][]string    // VMs in the order of their turns; may hold VMs without demand
-	waiting    [levels]int         // sums over asking
+	byLevel    [levels]levelState
+	now        float64 // virtual time of the levels
+}
+
+// levelState is the state of one level of a budget.
+type levelState struct {
+	turns  []string // VMs in the order of their turns; may hold VMs without demand
+	vms    int      // VMs with demand
+	finish float64  // virtual finish time
 }
 
 // request is the newest demand of an entry VM.
@@ -88,14 +99,25 @@
 		b.asking[vm] = r
 	}
 	r.until = until
-	for i, n := range d {
-		b.waiting[i] += n - r.demand[i]
-		if n > 0 && !r.inTurns[i] {
-			r.inTurns[i] = true
-			b.turns[i] = append(b.turns[i], vm)
-		}
+	for level, n := range d {
+		b.setDemand(vm, r, level, n)
+	}
+}
+
+// setDemand sets the demand of a VM at one level.
+func (b *budget) setDemand(vm string, r *request, level, n int) {
+	l := &b.byLevel[level]
+	switch before := r.demand[level]; {
+	case before == 0 && n > 0:
+		l.vms++
+	case before > 0 && n == 0:
+		l.vms--
+	}
+	r.demand[level] = n
+	if n > 0 && !r.inTurns[level] {
+		r.inTurns[level] = true
+		l.turns = append(l.turns, vm)
 	}
-	r.demand = d
 }
 
 // giveBack returns unused permits. Those of another allocator, before this budget began, are dropped.
@@ -112,25 +134,39 @@
 	b.expire(now)
 	var out []grant
 	chunk := max(int(math.Ceil(b.tokens/grantsPerRound)), 1)
-	for level := 0; level < levels && b.tokens >= 1 && len(out) < grantsPerRound; {
-		vm, r := b.nextTurn(level)
-		if r == nil {
-			level++
-			continue
+	for b.tokens >= 1 && len(out) < grantsPerRound {
+		level := b.nextLevel()
+		if level < 0 {
+			break
 		}
+		vm, r := b.nextTurn(level)
 		n := min(chunk, r.demand[level], int(b.tokens))
 		b.tokens -= float64(n)
-		r.demand[level] -= n
-		b.waiting[level] -= n
-		if r.demand[level] > 0 {
-			r.inTurns[level] = true
-			b.turns[level] = append(b.turns[level], vm)
+		if level != expected {
+			l := &b.byLevel[level]
+			b.now = max(b.now, l.finish)
+			l.finish = b.now + float64(n)/policy.ShareWeight(level)
 		}
+		b.setDemand(vm, r, level, r.demand[level]-n)
 		out = append(out, grant{vm, n})
 	}
 	return out
 }
 
+// nextLevel returns the level that gets the next permit, or -1 if no VM has demand.
+func (b *budget) nextLevel() int {
+	best := -1
+	for level := range expected {
+		if b.byLevel[level].vms > 0 && (best < 0 || b.byLevel[level].finish < b.byLevel[best].finish) {
+			best = level
+		}
+	}
+	if best < 0 && b.byLevel[expected].vms > 0 {
+		return expected
+	}
+	return best
+}
+
 func (b *budget) refill(now time.Time, perSecond float64) {
 	slowUntil := b.beganAt.Add(takeoverTime)
 	slow := max(min(now.Sub(b.refilledAt), slowUntil.Sub(b.refilledAt)), 0)
@@ -140,11 +176,11 @@
 	b.refilledAt = now
 }
 
-// nextTurn removes and returns the VM whose turn it is at a level, or nil if no VM has demand there.
+// nextTurn removes and returns the VM whose turn it is at a level at which some VM has demand.
 func (b *budget) nextTurn(level int) (string, *request) {
-	for len(b.turns[level]) > 0 {
-		vm := b.turns[level][0]
-		b.turns[level] = b.turns[level][1:]
+	for l := &b.byLevel[level]; ; {
+		vm := l.turns[0]
+		l.turns = l.turns[1:]
 		r := b.asking[vm]
 		if r == nil {
 			continue
@@ -154,32 +190,42 @@
 			return vm, r
 		}
 	}
-	return "", nil
 }
 
 // expire removes the VMs that have not asked again in time.
 func (b *budget) expire(now time.Time) {
 	for vm, r := range b.asking {
 		if now.After(r.until) {
-			for i, n := range r.demand {
-				b.waiting[i] -= n
+			for level := range levels {
+				b.setDemand(vm, r, level, 0)
 			}
 			delete(b.asking, vm)
 		}
 	}
 }
 
-// backlog returns the requests that wait for permits.
-func (b *budget) backlog() scheduler.LimitBacklog {
+// backlog returns the requests that wait for permits as a VM sees them.
+func (b *budget) backlog(vm string) scheduler.LimitBacklog {
 	var out scheduler.LimitBacklog
-	copy(out.Waiting[:], b.waiting[:policy.Priorities])
-	for _, r := range b.asking {
-		for _, n := range r.demand[:policy.Priorities] {
-			if n > 0 {
-				out.VMs++
-				break
-			}
+	for level := range policy.ShareLevels {
+		l := &b.byLevel[level]
+		out.VMs[level], out.Turn[level] = l.vms, l.vms
+		if r := b.asking[vm]; l.vms > 0 && r != nil && r.demand[level] > 0 {
+			out.Turn[level] = b.turnOf(vm, level)
 		}
 	}
 	return out
 }
+
+// turnOf returns the number of VMs with demand that get a permit before a VM with demand does.
+func (b *budget) turnOf(vm string, level int) (n int) {
+	for _, other := range b.byLevel[level].turns {
+		if other == vm {
+			break
+		}
+		if r := b.asking[other]; r != nil && r.demand[level] > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/permits/exchange.go
+++ b/permits/exchange.go
@@ -277,14 +277,17 @@
 	x.announceChanges(now, at, demands)
 	x.takeAsks(now, at, received, limits, out)
 	busy := x.ask(now, at, demands, out)
-	own := x.grant(now, at, limits, out)
+	own, backlogs := x.grant(now, limits, out)
 	x.send(out)
-	if len(own) > 0 {
+	if len(own)+len(backlogs) > 0 {
 		// An error means that ctx has ended.
 		_ = x.opts.RunInScheduler(ctx, func(t time.Duration, s *scheduler.Scheduler) {
 			for upstream, n := range own {
 				s.GrantPermits(t, upstream, n)
 			}
+			for upstream, b := range backlogs {
+				s.SetLimitBacklog(t, upstream, b)
+			}
 		})
 	}
 	return x.nextRound(demands, busy)
@@ -445,10 +448,7 @@
 func demandOf(d *scheduler.LimitDemand) demand {
 	var out demand
 	copy(out[:], d.Waiting[:])
-	out[policy.Priorities] = d.Ahead
-	for i := range out {
-		out[i] = min(out[i], maxCount)
-	}
+	out[expected] = min(d.Ahead, maxCount)
 	return out
 }
 
@@ -489,10 +489,10 @@
 	maps.DeleteFunc(x.awaiting, func(address string, _ pendingAnswer) bool { return !x.members.isEligible(address) })
 }
 
-// grant allocates the permits of all budgets. It puts those of other VMs into the outbox and returns those of this VM by
-// upstream.
-func (x *Exchange) grant(now time.Time, at time.Duration, limits map[uint64]*scheduler.LimitDemand, out outbox) map[uint64]int {
-	own := map[uint64]int{}
+// grant allocates the permits of all budgets. It puts those of other VMs into the outbox and returns those of this VM, and the
+// backlogs of the upstreams whose allocator it is.
+func (x *Exchange) grant(now time.Time, limits map[uint64]*scheduler.LimitDemand, out outbox) (own map[uint64]int, backlogs map[uint64]scheduler.LimitBacklog) {
+	own, backlogs = map[uint64]int{}, map[uint64]scheduler.LimitBacklog{}
 	_, known := x.opts.Reachable()
 	for _, upstream := range slices.Sorted(maps.Keys(x.granting.budgets)) {
 		b := x.granting.budgets[upstream]
@@ -505,14 +505,14 @@
 			}
 			out.answer(g.vm, b.limit).granted += g.n
 		}
-		backlog := b.backlog()
-		for _, m := range out {
+		for to, m := range out {
 			for i := range m.answers {
 				if m.answers[i].upstream == upstream {
-					m.answers[i].backlog = backlog
+					m.answers[i].backlog = b.backlog(to)
 				}
 			}
 		}
+		backlogs[upstream] = b.backlog(selfName)
 		if len(b.asking) == 0 && (limits[upstream] == nil || !x.members.allocator(upstream).self) {
 			x.granting.end(upstream)
 		}
@@ -525,7 +525,7 @@
 			}
 		}
 	}
-	return own
+	return own, backlogs
 }
 
 // part returns the part of an upstream's limit that this VM grants. The parts of all VMs add up to 1 at most: each VM asks one
--- a/permits/fleet_test.go
+++ b/permits/fleet_test.go
@@ -47,13 +47,20 @@
 	lost    float64             // share of datagrams and announcements that are lost
 
 	offered, served int
+	ends            []end
 	refused         []refusal
 	lastID          uint64
 }
 
+// end is the end of a request that was served.
+type end struct {
+	at, took time.Duration // from its arrival to the first output
+	class    string
+}
+
 type refusal struct {
-	at, waited, retryAfter, left time.Duration
-	class                        string
+	at, waited, retryAfter time.Duration
+	class                  string
 }
 
 type vm struct {
@@ -74,6 +81,7 @@
 
 type server struct {
 	name     string
+	role     topo.Role                       // of an engine; empty: a server of a plain service
 	limit    func(now time.Duration) float64 // 0: none
 	arrivals []time.Duration
 }
@@ -190,7 +198,11 @@
 	})
 	var list []topo.Upstream
 	for _, s := range v.fl.servers {
-		list = append(list, topo.Upstream{Name: s.name, Kind: topo.KindService, Service: "app", MaxBatch: 1000})
+		u := topo.Upstream{Name: s.name, Kind: topo.KindService, Service: "app", MaxBatch: 1000}
+		if s.role != "" {
+			u = topo.Upstream{Name: s.name, Kind: topo.KindEngine, Models: []string{"m"}, MaxBatch: 128, KVPieces: 800, Role: s.role}
+		}
+		list = append(list, u)
 	}
 	v.s.SetUpstreams(list)
 	v.list = &memberList{vm: v, unreachable: map[*vm]time.Duration{}}
@@ -220,7 +232,29 @@
 	}
 }
 
-func (v *vm) offer() { v.offerClass("read", 0) }
+func (v *vm) offer() {
+	if v.fl.servers[0].role == "" {
+		v.offerClass("read", 0)
+		return
+	}
+	v.offerPrompt()
+}
+
+// offerPrompt offers a request for an engine: a long, a medium or a short one.
+func (v *vm) offerPrompt() {
+	fl := v.fl
+	fl.lastID++
+	fl.offered++
+	n := fl.rng.IntN(5) / 2 // the short one is half as frequent
+	tokens := []int{17000, 9000, 1400}[n]
+	parts := []policy.Part{{ID: uint64(n*1000 + fl.rng.IntN(100)), Tokens: tokens * 3 / 4}}
+	r := &policy.Request{
+		ID: fl.lastID, Class: fmt.Sprint(n), Priority: 2 - n, Model: "m", PromptTokens: tokens, MaxOutput: 600, HintOutput: 15, Arrival: fl.now,
+		Prefix: policy.PrefixPieces(parts), Deadline: fl.now + patience*2, FirstTokenDeadline: fl.now + patience, ResendsLimited: true,
+		FirstTokenTarget: fl.now + patience/4,
+	}
+	v.apply(v.s.Offer(fl.now, r))
+}
 
 func (v *vm) offerClass(class string, priority int) {
 	fl := v.fl
@@ -235,28 +269,64 @@
 	for _, a := range slices.Clone(actions) {
 		switch a.Kind {
 		case scheduler.Dispatch:
-			v.send(a.Request, fl.servers[slices.IndexFunc(fl.servers, func(s *server) bool { return s.name == v.s.Fleet().Upstreams[a.Decode].Spec.Name })])
+			if a.Prefill == a.Decode {
+				v.send(a.Request, v.serverAt(a.Decode), workTime)
+			} else {
+				v.sendPrompt(a.Request, v.serverAt(a.Prefill))
+			}
 		case scheduler.Refuse:
-			fl.refused = append(fl.refused, refusal{fl.now, fl.now - a.Request.Arrival, a.RetryAfter, a.Request.Deadline - fl.now, a.Request.Class})
+			fl.refused = append(fl.refused, refusal{fl.now, fl.now - a.Request.Arrival, a.RetryAfter, a.Request.Class})
 		}
 	}
 }
 
-func (v *vm) send(r *policy.Request, to *server) {
+func (v *vm) serverAt(i int) *server {
+	name := v.s.Fleet().Upstreams[i].Spec.Name
+	return v.fl.servers[slices.IndexFunc(v.fl.servers, func(s *server) bool { return s.name == name })]
+}
+
+// send sends a request to a server and ends it when it is answered.
+func (v *vm) send(r *policy.Request, to *server, work time.Duration) {
+	v.exchange(to, work, func() {
+		v.fl.served++
+		v.fl.ends = append(v.fl.ends, end{v.fl.now, v.fl.now - r.Arrival, r.Class})
+		if r.Model != "" {
+			v.s.FirstToken(v.fl.now, r)
+			v.s.Progress(v.fl.now, r, 15)
+		}
+		v.apply(v.s.Finished(v.fl.now, r, policy.Completed))
+	})
+}
+
+// sendPrompt has an engine compute a prompt and hands it over.
+func (v *vm) sendPrompt(r *policy.Request, to *server) {
+	v.exchange(to, 3*workTime, func() {
+		decode, actions := v.s.PromptComputed(v.fl.now, r)
+		v.apply(actions)
+		if decode == policy.None {
+			v.apply(v.s.Finished(v.fl.now, r, policy.RefusedNotRun))
+			return
+		}
+		v.send(r, v.serverAt(decode), 3*workTime)
+	})
+}
+
+// exchange sends a request to a server and calls done when the answer has arrived.
+func (v *vm) exchange(to *server, work time.Duration, done func()) {
 	fl := v.fl
 	sentAt, boot := fl.now, v.boot
 	fl.after(delay, func() {
 		to.arrivals = append(to.arrivals, fl.now)
-		fl.after(workTime, func() {
+		fl.after(work, func() {
 			limit := to.limit(fl.now)
-			fl.after(delay, func() { v.answered(r, to, limit, sentAt, boot) })
+			fl.after(delay, func() { v.answered(to, limit, sentAt, boot, done) })
 		})
 	})
 }
 
-func (v *vm) answered(r *policy.Request, from *server, limit float64, sentAt time.Duration, boot uint64) {
+func (v *vm) answered(from *server, limit float64, sentAt time.Duration, boot uint64, done func()) {
 	if v.frozen {
-		v.fl.after(step, func() { v.answered(r, from, limit, sentAt, boot) })
+		v.fl.after(step, func() { v.answered(from, limit, sentAt, boot, done) })
 		return
 	}
 	if v.down || v.boot != boot {
@@ -268,8 +338,7 @@
 	} else {
 		v.s.AnswerLimit(v.fl.now, from.name, false, 0, sentAt)
 	}
-	v.fl.served++
-	v.apply(v.s.Finished(v.fl.now, r, policy.Completed))
+	done()
 }
 
 // run advances the fleet to a time.
@@ -541,6 +610,114 @@
 	}
 }
 
+// engineFleet returns five engines that compute prompts and four that generate, of which some are limited from 2 s on.
+func engineFleet(limit float64, until time.Duration, limitedPrefill, limitedDecode int) []*server {
+	var out []*server
+	for i := range 9 {
+		s := &server{name: fmt.Sprint("e", i), role: topo.RolePrefill, limit: noLimit}
+		n := limitedPrefill
+		if i >= 5 {
+			s.role, n = topo.RoleDecode, limitedDecode+5
+		}
+		if i < n {
+			s.limit = between(limit, seconds(2), until)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Guards against requests refused though engines without a limit have room.
+func TestLimitedEngines(t *testing.T) {
+	for _, c := range []struct{ prefill, decode int }{{0, 2}, {2, 2}, {3, 1}, {4, 3}, {5, 3}, {0, 4}, {5, 4}} {
+		t.Run(fmt.Sprintf("%d that compute prompts and %d that generate", c.prefill, c.decode), func(t *testing.T) {
+			t.Parallel()
+			servers := engineFleet(1.7, seconds(22), c.prefill, c.decode)
+			fl := newFleet(t, 12, 9, 5, servers...)
+			fl.run(seconds(36))
+			for _, s := range servers {
+				if n := s.mostInWindow(seconds(2)+ruleSettle, seconds(22)); s.limit(seconds(3)) > 0 && n > allowed(1.7) {
+					t.Errorf("%s got %d requests in %s, allowed %d", s.name, n, ruleWindow, allowed(1.7))
+				}
+			}
+			if c.decode < 4 {
+				if len(fl.refused) > 0 {
+					t.Errorf("%d of %d requests refused", len(fl.refused), fl.offered)
+				}
+				return
+			}
+			got, takes := 0, 4*1.7*17
+			for _, s := range servers[5:] {
+				got += s.count(seconds(5), seconds(22))
+			}
+			served, onTime := map[string]int{}, 0
+			for _, e := range fl.ends {
+				if e.at > seconds(5) && e.at < seconds(22) {
+					served[e.class]++
+					if e.took <= patience/4 {
+						onTime++
+					}
+				}
+			}
+			late, after := 0, 0
+			for _, r := range fl.refused {
+				if r.at > seconds(5) && r.waited > patience/4 {
+					late++
+				}
+				if r.at > seconds(24) {
+					after++
+				}
+			}
+			t.Logf("%d of %.0f requests got, %d in time, by class %v; %d refused, %d late, %d after the end", got, takes, onTime, served, len(fl.refused), late, after)
+			if float64(got) < 0.8*takes {
+				t.Errorf("the engines got %d requests, they take %.0f", got, takes)
+			}
+			if 10*onTime < 8*got {
+				t.Errorf("%d of %d requests were served in time", onTime, got)
+			}
+			for class := range 3 {
+				if 12*served[fmt.Sprint(class)] < got {
+					t.Errorf("class %d: %d of %d requests served", class, served[fmt.Sprint(class)], got)
+				}
+			}
+			if 20*late > len(fl.refused) || after > 0 {
+				t.Errorf("of %d refused requests %d had waited, %d came after the end", len(fl.refused), late, after)
+			}
+		})
+	}
+}
+
+// Guards against cheap requests of a high priority that take all of a limit, which counts them like any other, from bookings.
+func TestCheapRequestsDoNotStarveBookings(t *testing.T) {
+	for _, vms := range []int{9, 75} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			t.Parallel()
+			servers := []*server{{name: "a", limit: between(5, seconds(1), forever)}, {name: "b", limit: between(5, seconds(1), forever)}}
+			fl := newFleet(t, 13, vms, 60/float64(vms), servers...)
+			for at := seconds(2); at < seconds(20); at += seconds(0.25) {
+				fl.at(at, func() { fl.vms[fl.rng.IntN(len(fl.vms))].offerClass("booking", 2) })
+			}
+			fl.run(seconds(20))
+			bookings, all := 0, 0
+			for _, e := range fl.ends {
+				if e.at > seconds(6) {
+					all++
+					if e.class == "booking" {
+						bookings++
+					}
+				}
+			}
+			t.Logf("%d of 56 bookings served, %d requests in all", bookings, all)
+			if bookings < 34 {
+				t.Errorf("%d of 56 bookings were served", bookings)
+			}
+			if all < 112 {
+				t.Errorf("%d requests were served, the servers take 140", all)
+			}
+		})
+	}
+}
+
 // Guards against an exchange whose cost for one VM grows with the fleet.
 func TestCostOfTheExchange(t *testing.T) {
 	for _, vms := range []int{9, 75, 300} {
--- a/permits/message.go
+++ b/permits/message.go
@@ -70,10 +70,11 @@
 		x := &m.answers[i]
 		b = x.append(b)
 		b = binary.AppendUvarint(b, uint64(x.granted))
-		for _, n := range x.backlog.Waiting {
-			b = binary.AppendUvarint(b, uint64(n))
+		for level, vms := range x.backlog.VMs {
+			if b = binary.AppendUvarint(b, uint64(vms)); vms > 0 {
+				b = binary.AppendUvarint(b, uint64(x.backlog.Turn[level]))
+			}
 		}
-		b = binary.AppendUvarint(b, uint64(x.backlog.VMs))
 	}
 	return b
 }
@@ -151,10 +152,11 @@
 	}
 	for range r.count(maxEntries) {
 		x := answer{statement: r.statement(), granted: r.count(maxCount)}
-		for i := range policy.Priorities {
-			x.backlog.Waiting[i] = r.count(maxCount)
+		for level := range policy.ShareLevels {
+			if x.backlog.VMs[level] = r.count(maxCount); x.backlog.VMs[level] > 0 {
+				x.backlog.Turn[level] = r.count(maxCount)
+			}
 		}
-		x.backlog.VMs = r.count(maxCount)
 		m.answers = append(m.answers, x)
 	}
 	if r.malformed {
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -88,7 +88,7 @@
 // Admit implements policy.Admitter.
 func (d *Deadline) Admit(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
 	if c.Prefill == policy.None {
-		if v := admitWithoutUpstream(now, r, f, d.clampRetryAfter(time.Second), q.LimitedWait); !v.Admit {
+		if v := admitWithoutUpstream(now, r, f, d.clampRetryAfter(time.Second), q); !v.Admit {
 			return v
 		}
 	}
--- a/policy/admission/patience.go
+++ b/policy/admission/patience.go
@@ -41,7 +41,7 @@
 // Admit implements policy.Admitter.
 func (p *Patience) Admit(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
 	if c.Prefill == policy.None {
-		return admitWithoutUpstream(now, r, f, p.retryAfter(0), q.LimitedWait)
+		return admitWithoutUpstream(now, r, f, p.retryAfter(0), q)
 	}
 	expected := time.Duration(p.Margin * float64(c.FirstToken))
 	if c.Defer {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -87,6 +87,7 @@
 	Backlog        float64       // prompt tokens that Prefill was expected to compute before this request
 	ComputingAt    *Upstream     // upstream whose Computing counts the request, or nil
 	PromptDone     bool          // Prefill has computed the prompt; the first token may still be missing
+	FairTag        float64       // virtual start time among the classes that wait for limited upstreams, set when it is queued
 	DecodePermit   bool          // a permit for Decode, another upstream than Prefill, is reserved until PromptDone
 	PossibleRuns   int           // attempts that may have run
 	UnsentAttempts int           // attempts that failed before anything was sent
@@ -146,6 +147,29 @@
 	return r.Deadline
 }
 
+// ShareLevels is the number of levels among which the permits of limited upstreams are shared.
+const ShareLevels = 2 * Priorities
+
+// ShareLevel returns the level of r: two for each priority, the first for requests that must not be repeated.
+func (r *Request) ShareLevel() int {
+	level := 2 * min(max(r.Priority, 0), Priorities-1)
+	if r.Idempotent {
+		level++
+	}
+	return level
+}
+
+// ShareWeight returns the weight of a level. It doubles with the priority, and for requests that must not be repeated, whose
+// callers can't send them again without care. A limit counts requests, so that many cheap ones of a high priority would take
+// all of it without weights.
+func ShareWeight(level int) float64 {
+	w := float64(int(1) << (Priorities - 1 - level/2))
+	if level%2 == 0 {
+		w *= 2
+	}
+	return w
+}
+
 // Avoids reports whether upstream i was the prefill upstream or the decoder of the last failed attempt.
 func (r *Request) Avoids(i int) bool { return i == r.Avoid || i == r.AvoidDecode }
 
@@ -347,8 +371,9 @@
 	Capacity int
 	// WaitAhead is the expected time until the requests queued ahead of r have been dispatched.
 	WaitAhead time.Duration
-	// LimitedWait is the expected time until r gets its turn, if all upstreams that accept it are limited.
-	LimitedWait time.Duration
+	// LimitedWait is the expected time until r gets its turn, if all upstreams that accept it are limited. LimitedPatience is
+	// the longest such time for which r may wait, besides its deadline.
+	LimitedWait, LimitedPatience time.Duration
 }
 
 // Admitter decides which requests are admitted, and the order in which queued requests are dispatched.
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"container/heap"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -28,7 +30,10 @@
 	// backlogLifetime is how long a report of the requests waiting at all entry VMs is used.
 	backlogLifetime = time.Second
 	// reviewInterval is the time between two reviews of the requests that wait for limited upstreams only.
-	reviewInterval = 100 * time.Millisecond
+	reviewInterval = 50 * time.Millisecond
+	// settlingTime is the time after its arrival in which a request may still be refused for a long wait. It covers the answers
+	// of the permit allocators, which tell the turn of this entry VM.
+	settlingTime = 150 * time.Millisecond
 	// demandWindow is the time constant of the decaying count of requests that would have taken a permit.
 	demandWindow = time.Second
 	// minWanted is the count below which no permit is asked for in advance.
@@ -42,10 +47,10 @@
 	ObservedAt time.Duration // when an entry VM received the answer
 }
 
-// LimitBacklog is the demand of all entry VMs for the permits of one upstream.
+// LimitBacklog is the demand of all entry VMs for the permits of one upstream, by share level.
 type LimitBacklog struct {
-	Waiting [policy.Priorities]int // waiting requests by priority
-	VMs     int                    // entry VMs with waiting requests
+	VMs  [policy.ShareLevels]int // entry VMs with waiting requests
+	Turn [policy.ShareLevels]int // of these, those that get a permit before this one does
 }
 
 // LimitDemand is the demand of this entry VM for the permits of one upstream.
@@ -53,10 +58,10 @@
 	Upstream uint64 // hash of its name
 	Name     string
 	Limit    Limit
-	Answered bool                   // this entry VM has received the answer that stated Limit
-	Waiting  [policy.Priorities]int // waiting requests that it could serve, by priority
-	Ahead    int                    // permits that further requests are expected to use
-	Returned int                    // permits that have expired unused since the last call
+	Answered bool                    // this entry VM has received the answer that stated Limit
+	Waiting  [policy.ShareLevels]int // waiting requests that it could serve, by share level
+	Ahead    int                     // permits that further requests are expected to use
+	Returned int                     // permits that have expired unused since the last call
 }
 
 // limitState is the state of an upstream with a limit, or whose limit has ended lately.
@@ -166,7 +171,7 @@
 		d := LimitDemand{Upstream: hash, Name: st.upstream.Spec.Name, Limit: st.limit, Answered: st.answered, Returned: st.returned}
 		st.returned = 0
 		if st.limit.Named && st.upstream.Accepting {
-			s.addWaiting(&d, st.upstream)
+			d.Waiting = s.waitingFor(st.upstream)
 			// A permit in advance for each request that is expected while a permit lasts.
 			if wanted := st.wantedNow(now); wanted >= minWanted {
 				ahead := math.Ceil(wanted * permitLifetime.Seconds() / demandWindow.Seconds())
@@ -179,22 +184,22 @@
 	return out
 }
 
-// addWaiting adds the queued requests that u could serve to d.
-func (s *Scheduler) addWaiting(d *LimitDemand, u *policy.Upstream) {
-	keys := make([]string, 0, len(u.Spec.Models)+1)
-	for _, m := range u.Spec.Models {
-		keys = append(keys, "m:"+m)
-	}
-	if u.Spec.Service != "" {
-		keys = append(keys, "s:"+u.Spec.Service)
-	}
-	for _, key := range keys {
+// waitingFor returns the queued requests that u could serve, by share level.
+func (s *Scheduler) waitingFor(u *policy.Upstream) (n [policy.ShareLevels]int) {
+	count := func(key string) {
 		if q := s.queues[key]; q != nil {
-			for i, n := range q.count {
-				d.Waiting[i] += n
+			for _, r := range q.items {
+				n[r.ShareLevel()]++
 			}
 		}
 	}
+	if u.Spec.Service != "" {
+		count("s:" + u.Spec.Service)
+	}
+	for _, m := range u.Spec.Models {
+		count("m:" + m)
+	}
+	return n
 }
 
 func (st *limitState) add(n int, expires time.Duration) {
@@ -281,43 +286,101 @@
 }
 
 // limitedWait returns the expected time until it is r's turn if all upstreams that accept r are limited, otherwise 0. ahead
-// is the number of requests of r's priority that wait before it at this entry VM.
-//
-// Permits go to the most urgent requests of all entry VMs and, among those, to the entry VMs in turn.
-func (s *Scheduler) limitedWait(now time.Duration, q *queue, r *policy.Request, ahead int) time.Duration {
+// is the number of requests of r's level that wait before it at this entry VM. At each upstream, the levels share the permits
+// by weight, and the entry VMs with requests of a level get them in turn.
+func (s *Scheduler) limitedWait(now time.Duration, r *policy.Request, ahead int) time.Duration {
 	if len(s.limits) == 0 {
 		return 0
 	}
-	rate, ok := s.fleet.LimitedRate(r)
-	if !ok {
+	if _, ok := s.fleet.LimitedRate(r); !ok {
 		return 0
 	}
-	b := s.newestBacklog(now, r)
-	level := priorityLevel(r)
-	moreUrgent := 0
-	for i := range level {
-		moreUrgent += max(b.Waiting[i], q.count[i])
+	level := r.ShareLevel()
+	first, later := math.Inf(1), 0.0 // seconds to this VM's first turn, and its turns per second
+	for _, i := range s.fleet.Candidates(r) {
+		u := s.fleet.Upstreams[i]
+		if !u.Accepting || !u.Limited || u.Role == topo.RolePrefill {
+			continue
+		}
+		var b LimitBacklog
+		if st := s.limits[u.Hash]; st.backlogAt > 0 && now-st.backlogAt <= backlogLifetime {
+			b = st.backlog
+		}
+		weights := 0.0
+		for l, vms := range b.VMs {
+			if vms > 0 || l == level {
+				weights += policy.ShareWeight(l)
+			}
+		}
+		rate := u.Limit * policy.ShareWeight(level) / weights
+		first = min(first, float64(b.Turn[level]+1)/rate)
+		later += rate / float64(max(b.VMs[level], 1))
+	}
+	return seconds(first + float64(ahead)/later)
+}
+
+const (
+	// transientWait is the expected time until its turn with which a request is queued for limited upstreams even if it then
+	// misses its target: a short burst is served late rather than refused.
+	transientWait = time.Second
+	// overloadMemory is how long after a refusal the upstreams' limits count as overloaded. Requests that would miss their
+	// target are refused then, as they would only make later ones miss theirs.
+	overloadMemory = 2 * time.Second
+)
+
+// limitedPatience returns the longest expected time until its turn with which r may wait for limited upstreams.
+func (q *queue) limitedPatience(now time.Duration, r *policy.Request) time.Duration {
+	switch {
+	case r.FirstTokenTarget == 0 || now-r.Arrival > settlingTime:
+		return math.MaxInt64
+	case now < q.overloadedUntil:
+		return r.FirstTokenTarget - now
+	default:
+		return max(r.FirstTokenTarget-now, transientWait)
+	}
+}
+
+// While all upstreams that accept the requests of a queue are limited, the queue is ordered by weighted fair queueing (start-time
+// fair queueing, Goyal et al. 1996) over the classes of its requests, with the weights of their share levels.
+
+// fairOrder is the state of one queue.
+type fairOrder struct {
+	active bool               // the queue is ordered by tags
+	now    float64            // virtual time: the highest tag of the requests that have left the queue
+	finish map[string]float64 // virtual finish time of each class that is ahead of now
+}
+
+// tag sets the tag with which r would be queued.
+func (f *fairOrder) tag(r *policy.Request) { r.FairTag = max(f.now, f.finish[r.Class]) }
+
+// queued advances the virtual finish time of the class of a request that has been tagged and queued for the first time.
+func (f *fairOrder) queued(r *policy.Request) {
+	if f.finish == nil {
+		f.finish = map[string]float64{}
 	}
-	own, all := q.count[level], b.Waiting[level]
-	before := ahead
-	if own > 0 && all > own {
-		before = ahead * all / own
-	} else if own == 0 {
-		before = all
+	f.finish[r.Class] = r.FairTag + 1/policy.ShareWeight(r.ShareLevel())
+}
+
+// left advances the virtual time after r has left the queue.
+func (f *fairOrder) left(r *policy.Request) {
+	if f.now = max(f.now, r.FairTag); len(f.finish) > maxFairClasses {
+		maps.DeleteFunc(f.finish, func(_ string, finish float64) bool { return finish <= f.now })
 	}
-	before = min(before, ahead*max(b.VMs, 1)+max(b.VMs-1, 0))
-	return seconds(float64(moreUrgent+before+1) / rate)
 }
 
-// newestBacklog returns the newest backlog of the limited upstreams that accept r.
-func (s *Scheduler) newestBacklog(now time.Duration, r *policy.Request) LimitBacklog {
-	var newest limitState
-	for _, i := range s.fleet.Candidates(r) {
-		if st := s.limits[s.fleet.Upstreams[i].Hash]; st != nil && st.backlogAt > newest.backlogAt && now-st.backlogAt <= backlogLifetime {
-			newest = *st
-		}
+// maxFairClasses is the number of classes from which those that are not ahead are removed.
+const maxFairClasses = 256
+
+// updateOrder orders q by tags while all upstreams that accept its requests are limited.
+func (s *Scheduler) updateOrder(q *queue) {
+	limited := false
+	if len(s.limits) > 0 && q.Len() > 0 {
+		_, limited = s.fleet.LimitedRate(q.items[0])
+	}
+	if limited != q.fair.active {
+		q.fair.active = limited
+		heap.Init(q)
 	}
-	return newest.backlog
 }
 
 // reviewDue reports whether the requests that wait for limited upstreams only have to be reviewed.
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -19,12 +19,22 @@
 	// Time of the last departure and moving mean of the interval between departures, for the expected wait.
 	lastDeparture     time.Duration
 	departureInterval time.Duration
+	fair              fairOrder
+	overloadedUntil   time.Duration // the limits of the upstreams count as overloaded until then
 }
 
 func (q *queue) Len() int           { return len(q.items) }
-func (q *queue) Less(i, j int) bool { return q.less(q.items[i], q.items[j]) }
+func (q *queue) Less(i, j int) bool { return q.before(q.items[i], q.items[j]) }
 func (q *queue) Swap(i, j int)      { q.items[i], q.items[j] = q.items[j], q.items[i] }
 
+// before reports whether a comes before b.
+func (q *queue) before(a, b *policy.Request) bool {
+	if q.fair.active && a.FairTag != b.FairTag && !answerInterrupted(a) && !answerInterrupted(b) {
+		return a.FairTag < b.FairTag
+	}
+	return q.less(a, b)
+}
+
 // Push implements heap.Interface; callers use push.
 func (q *queue) Push(x any) { q.items = append(q.items, x.(*policy.Request)) }
 
@@ -65,7 +75,7 @@
 
 // hasRequestBefore reports whether a queued request is ordered before r.
 func (q *queue) hasRequestBefore(r *policy.Request) bool {
-	return len(q.items) > 0 && !q.less(r, q.items[0])
+	return len(q.items) > 0 && !q.before(r, q.items[0])
 }
 
 // waitAhead estimates how long r will wait, from the number of queued requests of the same or a higher priority and the
@@ -78,16 +88,15 @@
 	return time.Duration(ahead) * q.departureInterval
 }
 
-// aheadOf returns the number of queued requests of r's priority that are ordered before r, which is not queued, and one more,
-// as turns vary and a refusal on arrival is better than one after a wait. It returns 0 if no upstream is limited, since only
-// limitedWait uses it.
-func (s *Scheduler) aheadOf(q *queue, r *policy.Request) int {
+// aheadOf returns the number of queued requests of r's level that come before r, which is not queued. It returns 0 if no
+// upstream is limited, since only limitedWait uses it.
+func (s *Scheduler) aheadOf(q *queue, r *policy.Request) (n int) {
 	if len(s.limits) == 0 {
 		return 0
 	}
-	n := 1
+	q.fair.tag(r)
 	for _, other := range q.items {
-		if priorityLevel(other) == priorityLevel(r) && q.less(other, r) {
+		if other.ShareLevel() == r.ShareLevel() && q.before(other, r) {
 			n++
 		}
 	}
@@ -120,13 +129,14 @@
 // less orders a queue. Suspects whose answer has begun come first, since each needs an upstream without another suspect
 // while its answer is interrupted; the admitter orders all others.
 func (s *Scheduler) less(a, b *policy.Request) bool {
-	x, y := a.Suspect && a.Generated > 0, b.Suspect && b.Generated > 0
-	if x != y {
+	if x, y := answerInterrupted(a), answerInterrupted(b); x != y {
 		return x
 	}
 	return s.opts.Admitter.Less(a, b)
 }
 
+func answerInterrupted(r *policy.Request) bool { return r.Suspect && r.Generated > 0 }
+
 // estimate is a moving mean of output tokens or call times.
 type estimate struct {
 	mean float64
--- a/scheduler/quiet.go
+++ b/scheduler/quiet.go
@@ -121,20 +121,20 @@
 func (s *Scheduler) refuseHopelessIn(now time.Duration, q *queue) {
 	list := slices.Clone(q.items)
 	slices.SortFunc(list, func(a, b *policy.Request) int {
-		if s.less(a, b) {
+		if q.before(a, b) {
 			return -1
 		}
 		return 1
 	})
 	none := policy.Choice{Prefill: policy.None, Decode: policy.None}
-	var ahead [policy.Priorities]int
+	var ahead [policy.ShareLevels]int
 	for _, r := range list {
-		level := priorityLevel(r)
-		if v := s.admit(now, r, none, q, ahead[level]); v.Admit {
-			ahead[level]++
+		view := s.queueView(now, q, r, ahead[r.ShareLevel()])
+		if v := s.admit(now, r, none, view); v.Admit {
+			ahead[r.ShareLevel()]++
 		} else if q.remove(r) {
 			s.queued--
-			s.refuse(now, r, v.Code, v.RetryAfter)
+			s.refuseQueued(now, q, r, v, view)
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -110,8 +110,9 @@
 	choice := s.opts.Router.Route(now, r, &s.fleet)
 	s.recordMissed(now, choice)
 	r.Cached = choice.Cached
-	if v := s.admit(now, r, choice, q, s.aheadOf(q, r)); !v.Admit {
-		s.refuse(now, r, v.Code, v.RetryAfter)
+	view := s.queueView(now, q, r, s.aheadOf(q, r))
+	if v := s.admit(now, r, choice, view); !v.Admit {
+		s.refuseQueued(now, q, r, v, view)
 		return
 	}
 	if choice.Prefill != policy.None && !shouldWait(r, choice) && !q.hasRequestBefore(r) {
@@ -119,10 +120,14 @@
 		return
 	}
 	if s.queued >= s.opts.QueueCapacity && r.Generated == 0 && !r.Suspect {
-		s.refuse(now, r, result.Overloaded, s.retryAfter(s.queueView(now, q, r, s.aheadOf(q, r))))
+		s.refuse(now, r, result.Overloaded, s.retryAfter(view))
 		return
 	}
 	q.push(now, r)
+	if len(s.limits) > 0 {
+		q.fair.queued(r)
+		s.updateOrder(q)
+	}
 	s.queued++
 	if choice.Prefill != policy.None && !shouldWait(r, choice) {
 		s.drainQueue(now, q)
@@ -136,13 +141,12 @@
 }
 
 // admit asks the admitter for a verdict. It always admits requests whose answer has begun, since a refusal would cut
-// the answer, and suspects, which were admitted before the crash. ahead is the number of requests of r's priority that wait
-// before it.
-func (s *Scheduler) admit(now time.Duration, r *policy.Request, c policy.Choice, q *queue, ahead int) policy.Verdict {
+// the answer, and suspects, which were admitted before the crash.
+func (s *Scheduler) admit(now time.Duration, r *policy.Request, c policy.Choice, v policy.QueueView) policy.Verdict {
 	if r.Generated > 0 || r.Suspect {
 		return policy.Verdict{Admit: true}
 	}
-	return s.opts.Admitter.Admit(now, r, &s.fleet, c, s.queueView(now, q, r, ahead))
+	return s.opts.Admitter.Admit(now, r, &s.fleet, c, v)
 }
 
 func (s *Scheduler) dispatch(now time.Duration, r *policy.Request, c policy.Choice, delay time.Duration) {
@@ -403,6 +407,7 @@
 }
 
 func (s *Scheduler) drainQueue(now time.Duration, q *queue) {
+	s.updateOrder(q)
 	kept := s.requeue[:0]
 	suspectsWait := false
 	for tries := 0; tries < maxFailedRoutes && q.Len() > 0; {
@@ -411,7 +416,7 @@
 			kept = append(kept, r) // no upstream is free for a suspect; skip it without counting a try
 			continue
 		}
-		if s.leaveQueue(now, q, r, len(kept)) {
+		if s.leaveQueue(now, q, r, kept) {
 			continue
 		}
 		if r.Suspect {
@@ -427,9 +432,9 @@
 	s.requeue = kept
 }
 
-// leaveQueue dispatches or refuses r, which has been popped from q after ahead requests that keep waiting. It returns false
-// if r must keep waiting, too.
-func (s *Scheduler) leaveQueue(now time.Duration, q *queue, r *policy.Request, ahead int) bool {
+// leaveQueue dispatches or refuses r, which has been popped from q after requests that keep waiting. It returns false if r must
+// keep waiting, too.
+func (s *Scheduler) leaveQueue(now time.Duration, q *queue, r *policy.Request, kept []*policy.Request) bool {
 	if now >= r.GiveUpAt() && r.Generated == 0 {
 		s.queued--
 		s.refuse(now, r, result.CannotMeetDeadline, time.Second)
@@ -439,15 +444,23 @@
 		return false
 	}
 	c := s.opts.Router.Route(now, r, &s.fleet)
-	if v := s.admit(now, r, c, q, ahead); !v.Admit {
+	ahead := 0
+	for _, other := range kept {
+		if other.ShareLevel() == r.ShareLevel() {
+			ahead++
+		}
+	}
+	view := s.queueView(now, q, r, ahead)
+	if v := s.admit(now, r, c, view); !v.Admit {
 		s.queued--
-		s.refuse(now, r, v.Code, v.RetryAfter)
+		s.refuseQueued(now, q, r, v, view)
 		return true
 	}
 	if c.Prefill == policy.None || shouldWait(r, c) {
 		return false
 	}
 	s.queued--
+	q.fair.left(r)
 	q.recordDeparture(now)
 	s.dispatch(now, r, c, 0)
 	return true
@@ -457,6 +470,18 @@
 	return min(max(v.WaitAhead, 200*time.Millisecond), 10*time.Second)
 }
 
+// queueView returns the view of a request before which ahead others of its share level wait.
 func (s *Scheduler) queueView(now time.Duration, q *queue, r *policy.Request, ahead int) policy.QueueView {
-	return policy.QueueView{Len: s.queued, Capacity: s.opts.QueueCapacity, WaitAhead: q.waitAhead(r), LimitedWait: s.limitedWait(now, q, r, ahead)}
+	return policy.QueueView{
+		Len: s.queued, Capacity: s.opts.QueueCapacity, WaitAhead: q.waitAhead(r), LimitedWait: s.limitedWait(now, r, ahead),
+		LimitedPatience: q.limitedPatience(now, r),
+	}
+}
+
+// refuseQueued refuses a request of q for which the admitter has decided so.
+func (s *Scheduler) refuseQueued(now time.Duration, q *queue, r *policy.Request, v policy.Verdict, view policy.QueueView) {
+	if view.LimitedWait > 0 {
+		q.overloadedUntil = now + overloadMemory
+	}
+	s.refuse(now, r, v.Code, v.RetryAfter)
 }
