Keep the age of a limit that is passed on between entry VMs

A VM that heard of a limit took the time of the message, less the stated age, as the time of the answer behind it. Each message takes some milliseconds, so that two VMs which pass a limit on to one another make it newer each time, and an answer without a limit, sent before that time, does not end it. Only the VM that has received the answer itself refreshes the time at others now, and a limit whose statement is older than the memory of ended limits is not taken up again. TestAStatementThatIsPassedOnStaysOld fails on the code before.

--- a/loads/limits.go
+++ b/loads/limits.go
@@ -12,6 +12,7 @@
 	Upstream   uint64 // hash of its name
 	PerSecond  float64
 	Ended      bool // it names no limit any more
+	Firsthand  bool // the entry VM that states it has received the answer itself
 	ObservedAt time.Time
 }
 
@@ -23,9 +24,16 @@
 	upstream  uint64
 	perSecond float64
 	ended     bool
+	firsthand bool
 	age       time.Duration
 }
 
+// Flags of a limitNotice.
+const (
+	flagEnded     = 1
+	flagFirsthand = 2
+)
+
 // limitQueue holds the newest limit of each upstream that is still to be sent.
 type limitQueue []queued[Limit]
 
@@ -45,13 +53,13 @@
 	var list []Limit
 	list, *q = takeQueued(*q, maxLimits)
 	for _, l := range list {
-		taken = append(taken, limitNotice{l.Upstream, l.PerSecond, l.Ended, max(now.Sub(l.ObservedAt), 0)})
+		taken = append(taken, limitNotice{l.Upstream, l.PerSecond, l.Ended, l.Firsthand, max(now.Sub(l.ObservedAt), 0)})
 	}
 	return taken
 }
 
 func (n limitNotice) limit(now time.Time) Limit {
-	return Limit{n.upstream, n.perSecond, n.ended, now.Add(-n.age)}
+	return Limit{n.upstream, n.perSecond, n.ended, n.firsthand, now.Add(-n.age)}
 }
 
 // QueueLimit queues a limit to be sent to all entry VMs, so that those that did not get an answer of the upstream keep
@@ -82,11 +90,14 @@
 	for _, n := range limits {
 		b = binary.BigEndian.AppendUint64(b, n.upstream)
 		b = binary.BigEndian.AppendUint64(b, math.Float64bits(n.perSecond))
-		ended := uint64(0)
+		flags := uint64(0)
 		if n.ended {
-			ended = 1
+			flags |= flagEnded
+		}
+		if n.firsthand {
+			flags |= flagFirsthand
 		}
-		b = binary.AppendUvarint(b, ended)
+		b = binary.AppendUvarint(b, flags)
 		b = binary.AppendUvarint(b, uint64(n.age.Milliseconds()))
 	}
 	return b
@@ -102,7 +113,8 @@
 	}
 	for range r.count(maxLimits) {
 		n := limitNotice{upstream: binary.BigEndian.Uint64(r.fixed(8)), perSecond: math.Float64frombits(binary.BigEndian.Uint64(r.fixed(8)))}
-		n.ended = r.uvarint() == 1
+		flags := r.uvarint()
+		n.ended, n.firsthand = flags&flagEnded != 0, flags&flagFirsthand != 0
 		n.age = time.Duration(min(r.uvarint(), uint64(maxLimitAge/time.Millisecond))) * time.Millisecond
 		if math.IsNaN(n.perSecond) || n.perSecond < 0 {
 			r.malformed = true
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -98,7 +98,7 @@
 		}
 		for range rapid.IntRange(0, 5).Draw(t, "limits") {
 			m.limits = append(m.limits, limitNotice{
-				rapid.Uint64().Draw(t, "limited"), rapid.Float64Range(0, 1e9).Draw(t, "rate"), rapid.Bool().Draw(t, "ended"),
+				rapid.Uint64().Draw(t, "limited"), rapid.Float64Range(0, 1e9).Draw(t, "rate"), rapid.Bool().Draw(t, "ended"), rapid.Bool().Draw(t, "firsthand"),
 				time.Duration(rapid.IntRange(0, 1000).Draw(t, "age")) * time.Millisecond,
 			})
 		}
--- a/permits/exchange.go
+++ b/permits/exchange.go
@@ -252,7 +252,7 @@
 	err := x.opts.RunInScheduler(ctx, func(t time.Duration, s *scheduler.Scheduler) {
 		at = t
 		for _, l := range learned {
-			s.LearnLimit(t, l.Upstream, scheduler.Limit{Named: !l.Ended, PerSecond: l.PerSecond, ObservedAt: t - now.Sub(l.ObservedAt)})
+			s.LearnLimit(t, l.Upstream, scheduler.Limit{Named: !l.Ended, PerSecond: l.PerSecond, ObservedAt: t - now.Sub(l.ObservedAt), Firsthand: l.Firsthand})
 		}
 		for i := range received {
 			applyMessage(s, t-now.Sub(received[i].at), &received[i].message)
@@ -307,13 +307,11 @@
 }
 
 func (s *statement) limit(at time.Duration) scheduler.Limit {
-	return scheduler.Limit{Named: s.named, PerSecond: s.perSecond, ObservedAt: at - s.age}
+	return scheduler.Limit{Named: s.named, PerSecond: s.perSecond, ObservedAt: at - s.age, Firsthand: s.firsthand}
 }
 
 func statementOf(at time.Duration, d *scheduler.LimitDemand) statement {
-	// Rounded up by about the time on the way, so that a statement does not become newer by being passed on.
-	age := max(at-d.Limit.ObservedAt, 0) + 2*time.Millisecond
-	return statement{d.Upstream, d.Limit.Named, d.Limit.PerSecond, min(age, maxAge)}
+	return statement{d.Upstream, d.Limit.Named, d.Limit.Firsthand, d.Limit.PerSecond, min(max(at-d.Limit.ObservedAt, 0), maxAge)}
 }
 
 func (x *Exchange) nextRound(demands []scheduler.LimitDemand, busy bool) time.Duration {
@@ -339,14 +337,14 @@
 		due := d.Limit.Named && now.Sub(before.at) >= announceInterval && x.members.allocator(d.Upstream).self
 		if changed {
 			from := "peer"
-			if d.Answered {
+			if d.Limit.Firsthand {
 				from = "answer"
 			}
 			x.opts.Log.Info("upstream limit", zap.String("upstream", d.Name), zap.Bool("named", d.Limit.Named), zap.Float64("per_second", d.Limit.PerSecond),
 				zap.Float64("before", before.perSecond), zap.String("from", from), zap.Bool("allocator", x.members.allocator(d.Upstream).self))
 		}
-		if changed && d.Answered || due {
-			x.opts.Announce(loads.Limit{Upstream: d.Upstream, PerSecond: d.Limit.PerSecond, Ended: !d.Limit.Named, ObservedAt: now.Add(d.Limit.ObservedAt - at)})
+		if changed && d.Limit.Firsthand || due {
+			x.opts.Announce(loads.Limit{Upstream: d.Upstream, PerSecond: d.Limit.PerSecond, Ended: !d.Limit.Named, Firsthand: d.Limit.Firsthand, ObservedAt: now.Add(d.Limit.ObservedAt - at)})
 			before.at = now
 		}
 		if changed || due {
--- a/permits/message.go
+++ b/permits/message.go
@@ -22,6 +22,7 @@
 type statement struct {
 	upstream  uint64 // hash of its name
 	named     bool
+	firsthand bool // the sender has received the answer itself
 	perSecond float64
 	age       time.Duration // since an answer of the upstream stated it
 }
@@ -49,6 +50,12 @@
 	formatVersion = 0xb1
 )
 
+// Flags of a statement.
+const (
+	flagNamed     = 1
+	flagFirsthand = 2
+)
+
 var errMalformed = errors.New("malformed permit message")
 
 func (m *message) encode() []byte {
@@ -81,11 +88,14 @@
 
 func (s *statement) append(b []byte) []byte {
 	b = binary.BigEndian.AppendUint64(b, s.upstream)
-	named := byte(0)
+	flags := byte(0)
 	if s.named {
-		named = 1
+		flags |= flagNamed
+	}
+	if s.firsthand {
+		flags |= flagFirsthand
 	}
-	b = append(b, named)
+	b = append(b, flags)
 	b = binary.BigEndian.AppendUint32(b, math.Float32bits(float32(s.perSecond)))
 	return binary.AppendUvarint(b, uint64(s.age.Milliseconds()))
 }
@@ -127,7 +137,9 @@
 }
 
 func (r *reader) statement() statement {
-	s := statement{upstream: binary.BigEndian.Uint64(r.fixed(8)), named: r.fixed(1)[0] == 1}
+	s := statement{upstream: binary.BigEndian.Uint64(r.fixed(8))}
+	flags := r.fixed(1)[0]
+	s.named, s.firsthand = flags&flagNamed != 0, flags&flagFirsthand != 0
 	s.perSecond = float64(math.Float32frombits(binary.BigEndian.Uint32(r.fixed(4))))
 	s.age = time.Duration(r.count(uint64(maxAge.Milliseconds()))) * time.Millisecond
 	if math.IsNaN(s.perSecond) || math.IsInf(s.perSecond, 0) || s.perSecond < 0 {
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -22,6 +22,8 @@
 	minLimit = 0.5
 	// maxLimit bounds a limit, so that sums of limits do not overflow.
 	maxLimit = 1e6
+	// sameLimit is the relative difference up to which two limits are the same; messages round them.
+	sameLimit = 1e-4
 	// permitLifetime is the time from the receipt of a permit until it expires.
 	permitLifetime = time.Second
 	// endedLimitLifetime is how long the end of a limit is remembered, so that an older report of the limit has no
@@ -45,6 +47,7 @@
 	Named      bool
 	PerSecond  float64       // if Named
 	ObservedAt time.Duration // when an entry VM received the answer
+	Firsthand  bool          // the entry VM that states it has received the answer itself
 }
 
 // LimitBacklog is the demand of all entry VMs for the permits of one upstream, by share level.
@@ -58,7 +61,6 @@
 	Upstream uint64 // hash of its name
 	Name     string
 	Limit    Limit
-	Answered bool                    // this entry VM has received the answer that stated Limit
 	Waiting  [policy.ShareLevels]int // waiting requests that it could serve, by share level
 	Ahead    int                     // permits that further requests are expected to use
 	Returned int                     // permits that have expired unused since the last call
@@ -68,7 +70,6 @@
 type limitState struct {
 	upstream  *policy.Upstream
 	limit     Limit
-	answered  bool          // the statement came with an answer to this entry VM
 	permits   []permitBatch // oldest first
 	returned  int
 	wanted    float64 // decaying count of requests that used a permit, or would have if one had been at hand
@@ -94,22 +95,23 @@
 	if !named && (st == nil || !st.limit.Named || sentAt <= st.limit.ObservedAt) {
 		return
 	}
-	s.setLimit(now, u, Limit{Named: named, PerSecond: perSecond, ObservedAt: now})
-	s.limits[u.Hash].answered = true
+	s.setLimit(now, u, Limit{Named: named, PerSecond: perSecond, ObservedAt: now, Firsthand: true})
 }
 
 // LearnLimit records what another entry VM knows about an upstream's limit, unless this one knows something newer.
 func (s *Scheduler) LearnLimit(now time.Duration, upstream uint64, l Limit) {
 	var u *policy.Upstream
 	if st := s.limits[upstream]; st != nil {
-		if u = st.upstream; l.ObservedAt <= st.limit.ObservedAt {
+		// A statement that is passed on from VM to VM must not become newer on the way.
+		same := !l.Firsthand && l.Named == st.limit.Named && math.Abs(l.PerSecond-st.limit.PerSecond) <= sameLimit*st.limit.PerSecond
+		if u = st.upstream; l.ObservedAt <= st.limit.ObservedAt || same {
 			return
 		}
-	} else if u = s.upstreamByHash(upstream); u == nil || !l.Named {
-		return
+	} else if u = s.upstreamByHash(upstream); u == nil || !l.Named || now-l.ObservedAt > endedLimitLifetime {
+		return // unknown, or its end may have been forgotten
 	}
+	l.Firsthand = false
 	s.setLimit(now, u, l)
-	s.limits[upstream].answered = false
 }
 
 func (s *Scheduler) upstreamByHash(hash uint64) *policy.Upstream {
@@ -168,7 +170,7 @@
 	s.expirePermits(now)
 	out := make([]LimitDemand, 0, len(s.limits))
 	for hash, st := range s.limits {
-		d := LimitDemand{Upstream: hash, Name: st.upstream.Spec.Name, Limit: st.limit, Answered: st.answered, Returned: st.returned}
+		d := LimitDemand{Upstream: hash, Name: st.upstream.Spec.Name, Limit: st.limit, Returned: st.returned}
 		st.returned = 0
 		if st.limit.Named && st.upstream.Accepting {
 			d.Waiting = s.waitingFor(st.upstream)
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -127,6 +127,18 @@
 	is.True(u.Limited)
 }
 
+// Guards against a limit that seems newer each time that entry VMs pass it on, so that no answer can end it.
+func TestAStatementThatIsPassedOnStaysOld(t *testing.T) {
+	is := is.New(t)
+	s := limitedSplitScheduler(t, 2, "d1")
+	u := s.fleet.Upstreams[s.byName["d1"]]
+	for at := 10 * time.Millisecond; at < 300*time.Millisecond; at += 10 * time.Millisecond {
+		s.LearnLimit(at, u.Hash, Limit{Named: true, PerSecond: 2, ObservedAt: at})
+	}
+	s.AnswerLimit(300*time.Millisecond, "d1", false, 0, 50*time.Millisecond)
+	is.True(!u.Limited)
+}
+
 // Guards against a new start of an upstream that inherits the limit of the one before.
 func TestANewStartIsNotLimited(t *testing.T) {
 	is := is.New(t)
