peer: report a call past its deadline as such, also when its context is late

TestACallsLimitHoldsAtThePeer failed beside load: unavailable in place of deadline_exceeded, in 63 of 96 runs now, 24 copies at once on 5 cores. Cause: the peer's deadline passes first; of its answer the status 504 arrives and the body with the code doesn't. The error then came up to 4.5 ms after the call's deadline, while its context had not ended yet, as a printed trace of the time left showed. Looking at the context alone (tried first) left 52 of 96.

--- a/peer/client.go
+++ b/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -81,11 +82,18 @@
 	f func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error)) (*Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	deadline, _ := ctx.Deadline()
 	res, err := f(ctx, connect.NewRequest(r))
-	if err != nil {
+	switch {
+	case err == nil:
+		return res.Msg, nil
+	case !time.Now().Before(deadline) && !errors.Is(ctx.Err(), context.Canceled):
+		// The peer's deadline is the same. Of its answer, the status may arrive but not the body with the code. On a busy
+		// machine the context ends some time after its deadline.
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
+	default:
 		return nil, err
 	}
-	return res.Msg, nil
 }
 
 // ExchangeTable compares member tables with the VM at address.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"bergamotcroft.example/bergamot/internal/knownred"
 	"bergamotcroft.example/bergamot/peer/peerv1"
 )
 
@@ -74,7 +73,6 @@
 
 // Guards against a call whose deadline passes first at the peer, which must not answer that it is unavailable.
 func TestACallsLimitHoldsAtThePeer(t *testing.T) {
-	knownred.Skip(t)
 	is := is.New(t)
 	address := serve(t, &Handlers{GetConfiguration: func(ctx context.Context, _ uint64) (uint64, []byte, error) {
 		<-ctx.Done()
