quarantine: let each run of a suspect wait for newer crashes

A trace of one: the first crash is known everywhere; the second run, at the next VM, began only 62 ms after it, on a slow machine; the two VMs after that had waited out the 60 ms that a run keeps from the last crash known to it, and sent within 2.8 ms, while the word of the second crash takes 5 ms. So it is a real break of the bound of three, not of the clock: retries that come faster than the reports, some time after a first crash, reach one upstream more for each VM.

Once a crash is known, each run waits 60 ms from now and is checked again. It costs an innocent request nothing more right after the crash, and 60 ms for repeats until one has come to a good end.

TestRetriesLongAfterAFirstCrashReachThreeUpstreams reaches 4 on the code before and 3 now, in virtual time.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -35,8 +35,8 @@
 	// Limit is the number of crashes in a row after which a fingerprint is refused; default 3, the bound that users
 	// require.
 	Limit int
-	// Settle is how long a run waits after the last known crash, and the last allowed run after its announcement, so
-	// that crashes and runs at other entry VMs are known before the run begins; default 60 ms. Messages reach all entry
+	// Settle is how long a run waits after a crash is known, and the last allowed run after its announcement, so that newer
+	// crashes and runs at other entry VMs are known before the run begins; default 60 ms. Messages reach all entry
 	// VMs in about 30 ms, and the shortest target time in use is 120 ms.
 	Settle time.Duration
 	// ClaimTTL is how long another entry VM's announcement of the last allowed run counts; default 6 s, the longest
@@ -136,12 +136,10 @@
 		return nil, 0, err
 	}
 	e.running++
-	wait = max(l.opts.Settle-l.opts.Now().Sub(e.lastCrash), 0)
 	l.mu.Unlock()
 	last := n == l.opts.Limit-1
 	if last {
 		l.opts.Broadcast(fp, Claimed)
-		wait = l.opts.Settle
 	}
 	return func() {
 		l.mu.Lock()
@@ -150,7 +148,7 @@
 		if last {
 			l.opts.Broadcast(fp, Released)
 		}
-	}, wait, nil
+	}, l.opts.Settle, nil
 }
 
 // Confirm returns an error if messages received during the wait show that the run could exceed the limit of crashes.
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -86,6 +86,27 @@
 	})
 }
 
+// Guards against a fourth upstream that is reached because, some time after a first crash, retries follow one another through
+// entry VMs that do not know of the newest crashes yet.
+func TestRetriesLongAfterAFirstCrashReachThreeUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := connectedLedgers(5, 30*time.Millisecond)
+		reached := 0
+		for i := range 20 {
+			if runOnce(all[i%len(all)], 7, upstreamName(i), true) {
+				reached++
+			}
+			pause := 2 * time.Millisecond
+			if i == 0 {
+				pause = 100 * time.Millisecond
+			}
+			time.Sleep(pause)
+		}
+		is.Equal(reached, 3)
+	})
+}
+
 // Guards against an innocent request that is refused because its upstreams crashed for other reasons: one crash counts
 // once across all entry VMs, a run that completes clears the fingerprint everywhere, and only crashes in a row count.
 func TestInnocentRequestsAreCleared(t *testing.T) {
