permits: keep messages within the usual MTU

Found by reading: 24 asks and 24 answers make a datagram of up to 4.6 kB, above the 2 kB that a receiver reads, and above what most networks carry in one packet. It takes more than ten limited upstreams between two VMs. TestTheLargestMessageFits fails on the code before; ten entries each fit into 1,400 bytes.

--- a/permits/message.go
+++ b/permits/message.go
@@ -42,10 +42,10 @@
 }
 
 const (
-	maxEntries  = 24 // asks and answers, each, in one datagram
+	maxEntries  = 10 // asks and answers, each, in one datagram
 	maxCount    = 1 << 20
 	maxAge      = time.Hour
-	maxDatagram = 2048 // bytes, above the size of the largest message
+	maxDatagram = 1400 // bytes, below the usual MTU
 	// formatVersion begins each message and differs from the first byte of other messages under the same secret.
 	formatVersion = 0xb1
 )
