permits: one turn for a VM whose ask has expired and come again

Found by a test of the allocator: a VM whose ask expired stayed in the order of turns, and got another place there when it asked again, so two turns for each one of the others from then on, and the order grew without bound. TestTurnsAfterAnAskHasExpired and TestBudgetsKeepCount fail on the code before. The other tests of the file came after the code that they guard.

--- a/permits/allocator.go
+++ b/permits/allocator.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"bergamotcroft.example/bergamot/policy"
@@ -182,9 +183,6 @@
 		vm := l.turns[0]
 		l.turns = l.turns[1:]
 		r := b.asking[vm]
-		if r == nil {
-			continue
-		}
 		r.inTurns[level] = false
 		if r.demand[level] > 0 {
 			return vm, r
@@ -198,6 +196,10 @@
 		if now.After(r.until) {
 			for level := range levels {
 				b.setDemand(vm, r, level, 0)
+				if r.inTurns[level] {
+					l := &b.byLevel[level]
+					l.turns = slices.DeleteFunc(l.turns, func(other string) bool { return other == vm })
+				}
 			}
 			delete(b.asking, vm)
 		}
@@ -223,7 +225,7 @@
 		if other == vm {
 			break
 		}
-		if r := b.asking[other]; r != nil && r.demand[level] > 0 {
+		if b.asking[other].demand[level] > 0 {
 			n++
 		}
 	}
