permits: count this VM once in the part that it grants

Found by reading: an allocator below others in rank grants for the VMs that ask and for itself, and counted itself twice when it had demand of its own. With k of n VMs the parts could add up to 1/n more for each such allocator.

--- a/permits/round.go
+++ b/permits/round.go
@@ -303,7 +303,11 @@
 	reachable, known := x.opts.Reachable()
 	granted := reachable
 	if a := x.members.allocator(upstream); !a.self || a.outranked {
-		granted = min(len(b.asking)+1, reachable) // only those that ask, and this VM
+		granted = len(b.asking) // only those that ask, and this VM
+		if b.asking[selfName] == nil {
+			granted++
+		}
+		granted = min(granted, reachable)
 	}
 	return float64(granted) / float64(max(known, 1))
 }
