--- a/loads/limits.go
+++ b/loads/limits.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"bergamotcroft.example/bergamot/internal/wire"
 )
 
 // Limit is the last known statement of an upstream about the requests that it takes from all entry VMs together.
@@ -107,17 +109,17 @@
 const maxLimitAge = time.Hour
 
 // limits decodes the limits at the end of a datagram. Processes of an older version send none.
-func (r *reader) limits() (out []limitNotice) {
-	if len(r.b) == 0 {
+func readLimits(r *wire.Reader) (out []limitNotice) {
+	if len(r.B) == 0 {
 		return nil
 	}
-	for range r.count(maxLimits) {
-		n := limitNotice{upstream: binary.BigEndian.Uint64(r.fixed(8)), perSecond: math.Float64frombits(binary.BigEndian.Uint64(r.fixed(8)))}
-		flags := r.uvarint()
+	for range r.Count(maxLimits) {
+		n := limitNotice{upstream: binary.BigEndian.Uint64(r.Fixed(8)), perSecond: math.Float64frombits(binary.BigEndian.Uint64(r.Fixed(8)))}
+		flags := r.Uvarint()
 		n.ended, n.firsthand = flags&flagEnded != 0, flags&flagFirsthand != 0
-		n.age = time.Duration(min(r.uvarint(), uint64(maxLimitAge/time.Millisecond))) * time.Millisecond
+		n.age = time.Duration(min(r.Uvarint(), uint64(maxLimitAge/time.Millisecond))) * time.Millisecond
 		if math.IsNaN(n.perSecond) || n.perSecond < 0 {
-			r.malformed = true
+			r.Malformed = true
 		}
 		out = append(out, n)
 	}
--- a/loads/message.go
+++ b/loads/message.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 
+	"bergamotcroft.example/bergamot/internal/wire"
 	"bergamotcroft.example/bergamot/policy"
 )
 
@@ -90,67 +91,32 @@
 	return appendLimits(b, m.limits)
 }
 
-// reader reads the fields of a datagram. malformed is set at the first field that does not fit.
-type reader struct {
-	b         []byte
-	malformed bool
-}
-
-func (r *reader) uvarint() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 {
-		r.malformed, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) fixed(n int) []byte {
-	if len(r.b) < n {
-		r.malformed, r.b = true, nil
-		return make([]byte, n)
-	}
-	v := r.b[:n]
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) count(limit int) int {
-	n := r.uvarint()
-	if n > uint64(limit) {
-		r.malformed = true
-		return 0
-	}
-	return int(n)
-}
-
 func decode(b []byte) (message, error) {
-	r := reader{b: b}
-	m := message{boot: r.uvarint(), seq: r.uvarint()}
-	m.dataCentre = string(r.fixed(r.count(maxDataCentreBytes)))
+	r := wire.Reader{B: b}
+	m := message{boot: r.Uvarint(), seq: r.Uvarint()}
+	m.dataCentre = string(r.Fixed(r.Count(maxDataCentreBytes)))
 	if m.dataCentre != "" {
-		m.part, m.parts = r.uvarint(), r.uvarint()
-		r.malformed = r.malformed || m.parts > maxRelayedParts || m.part >= m.parts
+		m.part, m.parts = r.Uvarint(), r.Uvarint()
+		r.Malformed = r.Malformed || m.parts > maxRelayedParts || m.part >= m.parts
 	}
-	for range r.count(maxLoads) {
-		m.loads = append(m.loads, load{binary.BigEndian.Uint32(r.fixed(4)), r.uvarint(), r.uvarint() * promptUnit})
+	for range r.Count(maxLoads) {
+		m.loads = append(m.loads, load{binary.BigEndian.Uint32(r.Fixed(4)), r.Uvarint(), r.Uvarint() * promptUnit})
 	}
-	for range r.count(maxPlacements) {
-		p := placement{upstream: binary.BigEndian.Uint32(r.fixed(4))}
-		for range r.count(maxParts) {
-			p.parts = append(p.parts, policy.Part{ID: binary.BigEndian.Uint64(r.fixed(8)), Tokens: int(min(r.uvarint(), 1<<24))})
+	for range r.Count(maxPlacements) {
+		p := placement{upstream: binary.BigEndian.Uint32(r.Fixed(4))}
+		for range r.Count(maxParts) {
+			p.parts = append(p.parts, policy.Part{ID: binary.BigEndian.Uint64(r.Fixed(8)), Tokens: int(min(r.Uvarint(), 1<<24))})
 		}
 		m.placements = append(m.placements, p)
 	}
-	for range r.count(maxGone) {
-		m.gone = append(m.gone, binary.BigEndian.Uint32(r.fixed(4)))
+	for range r.Count(maxGone) {
+		m.gone = append(m.gone, binary.BigEndian.Uint32(r.Fixed(4)))
 	}
-	for range r.count(maxCrashes) {
-		m.crashes = append(m.crashes, Crash{binary.BigEndian.Uint64(r.fixed(8)), binary.BigEndian.Uint32(r.fixed(4))})
+	for range r.Count(maxCrashes) {
+		m.crashes = append(m.crashes, Crash{binary.BigEndian.Uint64(r.Fixed(8)), binary.BigEndian.Uint32(r.Fixed(4))})
 	}
-	m.limits = r.limits()
-	if r.malformed {
+	m.limits = readLimits(&r)
+	if r.Malformed {
 		return message{}, errMalformed
 	}
 	return m, nil
--- a/permits/message.go
+++ b/permits/message.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"bergamotcroft.example/bergamot/internal/wire"
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/scheduler"
 )
@@ -100,78 +101,42 @@
 	return binary.AppendUvarint(b, uint64(s.age.Milliseconds()))
 }
 
-// reader reads the fields of a datagram. malformed is set at the first field that does not fit.
-type reader struct {
-	b         []byte
-	malformed bool
-}
-
-func (r *reader) fixed(n int) []byte {
-	if len(r.b) < n {
-		r.malformed, r.b = true, nil
-		return make([]byte, n)
-	}
-	v := r.b[:n]
-	r.b = r.b[n:]
-	return v
-}
-
-func (r *reader) uvarint() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 {
-		r.malformed, r.b = true, nil
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-// count reads a number that is at most limit.
-func (r *reader) count(limit uint64) int {
-	n := r.uvarint()
-	if n > limit {
-		r.malformed = true
-		return 0
-	}
-	return int(n)
-}
-
-func (r *reader) statement() statement {
-	s := statement{upstream: binary.BigEndian.Uint64(r.fixed(8))}
-	flags := r.fixed(1)[0]
+func readStatement(r *wire.Reader) statement {
+	s := statement{upstream: binary.BigEndian.Uint64(r.Fixed(8))}
+	flags := r.Fixed(1)[0]
 	s.named, s.firsthand = flags&flagNamed != 0, flags&flagFirsthand != 0
-	s.perSecond = float64(math.Float32frombits(binary.BigEndian.Uint32(r.fixed(4))))
-	s.age = time.Duration(r.count(uint64(maxAge.Milliseconds()))) * time.Millisecond
+	s.perSecond = float64(math.Float32frombits(binary.BigEndian.Uint32(r.Fixed(4))))
+	s.age = time.Duration(r.Count(int(maxAge.Milliseconds()))) * time.Millisecond
 	if math.IsNaN(s.perSecond) || math.IsInf(s.perSecond, 0) || s.perSecond < 0 {
-		r.malformed = true
+		r.Malformed = true
 	}
 	return s
 }
 
 func decode(b []byte) (message, error) {
-	r := reader{b: b}
-	if r.fixed(1)[0] != formatVersion {
+	r := wire.Reader{B: b}
+	if r.Fixed(1)[0] != formatVersion {
 		return message{}, errMalformed
 	}
-	m := message{boot: r.uvarint(), seq: r.uvarint()}
-	for range r.count(maxEntries) {
-		x := ask{statement: r.statement()}
+	m := message{boot: r.Uvarint(), seq: r.Uvarint()}
+	for range r.Count(maxEntries) {
+		x := ask{statement: readStatement(&r)}
 		for i := range levels {
-			x.demand[i] = r.count(maxCount)
+			x.demand[i] = r.Count(maxCount)
 		}
-		x.returned = r.count(maxCount)
+		x.returned = r.Count(maxCount)
 		m.asks = append(m.asks, x)
 	}
-	for range r.count(maxEntries) {
-		x := answer{statement: r.statement(), granted: r.count(maxCount)}
+	for range r.Count(maxEntries) {
+		x := answer{statement: readStatement(&r), granted: r.Count(maxCount)}
 		for level := range policy.ShareLevels {
-			if x.backlog.VMs[level] = r.count(maxCount); x.backlog.VMs[level] > 0 {
-				x.backlog.Turn[level] = r.count(maxCount)
+			if x.backlog.VMs[level] = r.Count(maxCount); x.backlog.VMs[level] > 0 {
+				x.backlog.Turn[level] = r.Count(maxCount)
 			}
 		}
 		m.answers = append(m.answers, x)
 	}
-	if r.malformed {
+	if r.Malformed {
 		return message{}, errMalformed
 	}
 	return m, nil
