Shorten the heads of the new tests; read the reachable members once a round

An allocator read the member counts for each upstream, under the lock of the member table; it reads them once a round now.

--- a/forward/codec.go
+++ b/forward/codec.go
@@ -63,7 +63,7 @@
 const (
 	NoLimit         LimitSign = iota // none is named
 	LimitNamed                       // Answer.Limit
-	LimitUnreadable                  // one is named, but not as a number of requests; it says nothing
+	LimitUnreadable                  // one is named, but not as a number of requests; ignored
 )
 
 // Codec translates between the project's types and a protocol of callers and upstreams.
--- a/membership/core_test.go
+++ b/membership/core_test.go
@@ -235,9 +235,7 @@
 	})
 }
 
-// Guards against members that do not know one another for a minute after the fleet has started at once: each joins through a
-// seed that knows few others yet, and the word of it goes only to those. Seen in a soak of nine VMs, in which two were unknown
-// to six for as long as it ran.
+// Guards against members that stay unknown to others for a minute because the fleet has started at once.
 func TestAFleetThatStartsAtOnceIsCompleteSoon(t *testing.T) {
 	for seed := range uint64(40) {
 		w := newNetwork(t, 0, seed)
--- a/permits/limits_test.go
+++ b/permits/limits_test.go
@@ -35,8 +35,7 @@
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
-// Guards against a limited server that gets more than its limit from all entry VMs together, or much less than it takes, with
-// limits above and below one request for each VM and window.
+// Guards against a limited server that gets more than its limit from all entry VMs together, or much less.
 func TestALimitHoldsOverAllVMs(t *testing.T) {
 	for _, vms := range []int{1, 9, 75} {
 		for _, limit := range []float64{0.1, 0.7, 2, 15, 150} {
@@ -62,8 +61,7 @@
 	}
 }
 
-// Guards against a limit that is not followed when it rises or falls, and against a server that does not get its full share
-// soon after its limit has ended.
+// Guards against a limit that is not followed when it rises, falls or ends.
 func TestAChangingLimit(t *testing.T) {
 	for _, vms := range []int{9, 75} {
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
@@ -89,8 +87,7 @@
 	}
 }
 
-// Guards against limits that break, and against servers that get nothing any more, while VMs are killed, started, frozen and
-// cut from one another, and datagrams are lost.
+// Guards against limits that break, and limited servers that are left out, under faults of the entry VMs and their network.
 func TestALimitUnderFaults(t *testing.T) {
 	faults := map[string]func(fl *fleet){
 		"kills": func(fl *fleet) {
@@ -173,8 +170,7 @@
 	}
 }
 
-// Guards against requests that wait until their deadline though all servers are limited, against servers that get less than
-// they take then, and against times to come back before there is room.
+// Guards against late refusals, early times to come back and unused permits while all servers are limited.
 func TestAllServersAreLimited(t *testing.T) {
 	for _, vms := range []int{9, 75} {
 		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
--- a/permits/round.go
+++ b/permits/round.go
@@ -262,10 +262,10 @@
 // backlogs of the upstreams whose allocator it is.
 func (x *Exchange) grant(now time.Time, limits map[uint64]*scheduler.LimitDemand, out outbox) (own map[uint64]int, backlogs map[uint64]scheduler.LimitBacklog) {
 	own, backlogs = map[uint64]int{}, map[uint64]scheduler.LimitBacklog{}
-	_, known := x.opts.Reachable()
+	reachable, known := x.opts.Reachable()
 	for _, upstream := range slices.Sorted(maps.Keys(x.granting.budgets)) {
 		b := x.granting.budgets[upstream]
-		rate := b.limit.perSecond * x.part(upstream, b)
+		rate := b.limit.perSecond * x.part(upstream, b, reachable, known)
 		for _, g := range b.allocate(now, rate) {
 			permitsGranted.Add(g.n)
 			if g.vm == selfName {
@@ -297,10 +297,9 @@
 	return own, backlogs
 }
 
-// part returns the part of an upstream's limit that this VM grants. The parts of all VMs add up to 1 at most: each VM asks one
+// part returns the part of an upstream's limit that this VM grants, which reaches a number of the known members. The parts of all VMs add up to 1 at most: each VM asks one
 // allocator, and those that reach the one with the highest rank ask that one.
-func (x *Exchange) part(upstream uint64, b *budget) float64 {
-	reachable, known := x.opts.Reachable()
+func (x *Exchange) part(upstream uint64, b *budget, reachable, known int) float64 {
 	granted := reachable
 	if a := x.members.allocator(upstream); !a.self || a.outranked {
 		granted = len(b.asking) // only those that ask, and this VM
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -86,8 +86,7 @@
 	})
 }
 
-// Guards against a fourth upstream that is reached because, some time after a first crash, retries follow one another through
-// entry VMs that do not know of the newest crashes yet.
+// Guards against retries, some time after a first crash, that overtake the reports of newer crashes.
 func TestRetriesLongAfterAFirstCrashReachThreeUpstreams(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -29,8 +29,7 @@
 	return &policy.Request{ID: id, Model: "m", PromptTokens: 30000, Deadline: patience, FirstTokenDeadline: patience, ResendsLimited: true, MaxResends: 2}
 }
 
-// Guards against requests that wait until their deadline because every engine that could generate is limited, while engines
-// that compute prompts are not.
+// Guards against requests that wait until their deadline while all engines that could generate are limited.
 func TestRequestsForLimitedDecodersAreRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	s := limitedSplitScheduler(t, 1, "d1", "d2", "d3")
@@ -108,8 +107,7 @@
 	is.True(s.fleet.Upstreams[a[0].Prefill].Spec.Name != "d1")
 }
 
-// Guards against a limit that an answer ends which was under way when another one named it, and against one that an older
-// report of a peer brings back.
+// Guards against a limit that an older answer ends, or an older report of a peer brings back.
 func TestTheNewestStatementOfALimitHolds(t *testing.T) {
 	is := is.New(t)
 	s := limitedSplitScheduler(t, 1)
