--- a/forward/record.go
+++ b/forward/record.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -50,10 +51,22 @@
 		zap.String("service", x.service), zap.String("prompt_at", p.Prefill.Name), zap.String("upstream", p.Decode.Name),
 		zap.String("fetch_from", p.Source.Name), zap.Int("tokens", x.call.Prompt), zap.Int("max_output", x.call.MaxOutput),
 		zap.Int("hint", x.call.HintOutput), zap.Int("cached_pieces", p.Cached), zap.Float64("backlog", p.Backlog),
-		zap.Duration("expected", p.ExpectedFirst),
+		zap.Duration("expected", p.ExpectedFirst), zap.String("parts", x.partIDs()),
 		zap.Duration("waited", time.Since(x.arrival)), zap.Duration("left", time.Until(x.deadline)))
 }
 
+// partIDs returns the identifiers of the prompt's shared parts in hexadecimal, comma-separated.
+func (x *exchange) partIDs() string {
+	var b []byte
+	for i := range len(x.call.Parts) - 1 {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendUint(b, x.call.Parts[i].ID, 16)
+	}
+	return string(b)
+}
+
 // recordEnd counts and logs a request that has ended.
 func (x *exchange) recordEnd(e *result.Error) {
 	code, class := result.OK, ""
