Count a hand-over that fails before it is sent as a send

Cause: a computed prompt was offered to decoders whose addresses refused the connection. The attempt then ended as one that failed before it was sent, which costs no retry budget and is retried at once, up to 64 times. But the prompt had been read by an engine, so each round was a send. The health of the refused decoders was not updated during a hand-over either, so that they were picked again.

Ruled out: retries of the requests that the crashes broke off; in the log each of the repeats is a prompt read of one request at one engine, with "hand over" and a refused connection after it.

Change: an attempt whose prompt was read counts as refused, not as unsent; a failed connection during a hand-over marks the decoder as unreachable.

TestAPromptIsNotReadAgainForEachUnsentHandOver failed before (64 prompts).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -228,7 +228,11 @@
 			zap.String("upstream", p.Decode.Name), zap.Duration("waited", time.Since(x.arrival)))
 	}
 	resp, a, err := x.generate(ctx, p, handle)
-	for handle != "" && certainlyNotRun(err) && p.RetryHandOver(ctx) {
+	for handle != "" {
+		o, notRun := notRunOutcome(err)
+		if !notRun || !p.RetryHandOver(ctx, o) {
+			break
+		}
 		resp, a, err = x.generate(ctx, p, handle)
 	}
 	if err != nil {
@@ -247,10 +251,13 @@
 	return x.relayEvents(ctx, p, resp)
 }
 
-// certainlyNotRun reports whether err means that the upstream certainly did not run the request.
-func certainlyNotRun(err error) bool {
+// notRunOutcome returns the outcome of a failed send if it means that the upstream certainly did not run the request.
+func notRunOutcome(err error) (o policy.Outcome, ok bool) {
 	var f *upstream.Failure
-	return errors.As(err, &f) && (f.Outcome == policy.RefusedNotRun || f.Outcome == policy.FailedBeforeSend)
+	if !errors.As(err, &f) || f.Outcome != policy.RefusedNotRun && f.Outcome != policy.FailedBeforeSend {
+		return 0, false
+	}
+	return f.Outcome, true
 }
 
 // generate sends the request to the engine that generates the output, with the handle of the computed prompt if there
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -52,10 +52,10 @@
 	})
 }
 
-// RetryHandOver records that Decode has refused the computed prompt, and sets Decode to another engine. It returns
-// false if no engine is left or no further send is allowed.
-func (p *Placement) RetryHandOver(ctx context.Context) bool {
-	return p.repick(ctx, func(now time.Duration, s *scheduler.Scheduler) int { return s.RetryHandOver(now, &p.f.req) })
+// RetryHandOver records the outcome of a hand-over to Decode that did not take place, RefusedNotRun or FailedBeforeSend,
+// and sets Decode to another engine. It returns false if no engine is left or no further send is allowed.
+func (p *Placement) RetryHandOver(ctx context.Context, o policy.Outcome) bool {
+	return p.repick(ctx, func(now time.Duration, s *scheduler.Scheduler) int { return s.RetryHandOver(now, &p.f.req, o) })
 }
 
 func (p *Placement) repick(ctx context.Context, pick func(time.Duration, *scheduler.Scheduler) int) bool {
--- a/policy/retry/window.go
+++ b/policy/retry/window.go
@@ -45,6 +45,9 @@
 // lose a quarter of them at once, and each refused connection takes about 1 ms.
 const maxUnsentAttempts = 64
 
+// MaxSentAttempts is the default of Window.MaxAttempts.
+const MaxSentAttempts = 4
+
 // usedShare is the part of the allowance that is used. The remainder covers requests that are counted in a different
 // window elsewhere.
 const usedShare = 0.85
@@ -52,7 +55,7 @@
 // ModuleInfo implements kernel.Module.
 func (*Window) ModuleInfo() kernel.Info {
 	return kernel.Info{ID: "retry.window", New: func() kernel.Module {
-		return &Window{Ratio: 0.2, Slack: 20, WindowMS: 10000, HedgeFactor: 4, HedgeMinMS: 250, HedgeShare: 0.4, MaxAttempts: 4}
+		return &Window{Ratio: 0.2, Slack: 20, WindowMS: 10000, HedgeFactor: 4, HedgeMinMS: 250, HedgeShare: 0.4, MaxAttempts: MaxSentAttempts}
 	}}
 }
 
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -10,7 +10,7 @@
 	"bergamotcroft.example/bergamot/policy"
 	_ "bergamotcroft.example/bergamot/policy/admission"
 	_ "bergamotcroft.example/bergamot/policy/health"
-	_ "bergamotcroft.example/bergamot/policy/retry"
+	"bergamotcroft.example/bergamot/policy/retry"
 	"bergamotcroft.example/bergamot/policy/routing"
 	"bergamotcroft.example/bergamot/topo"
 )
@@ -81,10 +81,10 @@
 	s := newSplitScheduler(t)
 	r, _ := offerSplit(is, s)
 	first, _ := s.PromptComputed(time.Second, r)
-	second := s.RetryHandOver(time.Second, r)
+	second := s.RetryHandOver(time.Second, r, policy.RefusedNotRun)
 	is.True(second != policy.None && second != first)
 	tries := 0
-	for s.RetryHandOver(time.Second, r) != policy.None {
+	for s.RetryHandOver(time.Second, r, policy.RefusedNotRun) != policy.None {
 		tries++
 		is.True(tries < 10)
 	}
@@ -162,3 +162,27 @@
 		s.Finished(time.Second, r, policy.Completed)
 	}
 }
+
+// Guards against a prompt that is computed again and again, without use of the retry budget, while its decoders refuse connections.
+func TestAPromptIsNotReadAgainForEachUnsentHandOver(t *testing.T) {
+	is := is.New(t)
+	s := newSplitScheduler(t)
+	r, a := offerSplit(is, s)
+	prompts := 0
+	for now := time.Second; ; now += 40 * time.Millisecond {
+		if a.Kind == Refuse {
+			is.True(!a.Ran)
+			break
+		}
+		if a.Prefill != a.Decode {
+			prompts++
+			s.PromptComputed(now, r)
+			for s.RetryHandOver(now, r, policy.FailedBeforeSend) != policy.None {
+			}
+		}
+		actions := s.Finished(now, r, policy.FailedBeforeSend)
+		is.Equal(len(actions), 1)
+		a = actions[0]
+	}
+	is.True(prompts <= retry.MaxSentAttempts)
+}
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -59,9 +59,9 @@
 	decode, _ := s.PromptComputed(900*time.Millisecond, r)
 	is.Equal(s.fleet.Upstreams[decode].Spec.Name, "d2")
 	is.Equal(s.permitsOf("d2"), 1)
-	is.Equal(s.RetryHandOver(950*time.Millisecond, r), decode) // the only engine with a permit
+	is.Equal(s.RetryHandOver(950*time.Millisecond, r, policy.RefusedNotRun), decode) // the only engine with a permit
 	is.Equal(s.permitsOf("d2"), 0)
-	is.Equal(s.RetryHandOver(960*time.Millisecond, r), policy.None)
+	is.Equal(s.RetryHandOver(960*time.Millisecond, r, policy.RefusedNotRun), policy.None)
 }
 
 // Guards against a permit that stays reserved for a request that has failed before its prompt was ready.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -263,13 +263,18 @@
 	}
 }
 
-// RetryHandOver records that the decoder has refused r's computed prompt. It returns another decoder if the retry
-// budget allows one and an engine accepts work, otherwise None. The prompt is not computed again.
-func (s *Scheduler) RetryHandOver(now time.Duration, r *policy.Request) int {
+// RetryHandOver records that the decoder has not taken r's computed prompt: it refused it, or could not be reached. It
+// returns another decoder if the retry budget allows one and an engine accepts work, otherwise None. The prompt is not
+// computed again.
+func (s *Scheduler) RetryHandOver(now time.Duration, r *policy.Request, o policy.Outcome) int {
 	if !s.inFlight(r) || r.FirstAt != 0 || !r.PromptDone || now >= r.GiveUpAt() {
 		return policy.None
 	}
-	s.opts.Health.Observe(now, policy.Observation{Upstream: r.Decode, Kind: policy.ObservedFirstToken, Stalled: true})
+	if o == policy.FailedBeforeSend {
+		s.observeEnd(now, r, o)
+	} else {
+		s.opts.Health.Observe(now, policy.Observation{Upstream: r.Decode, Kind: policy.ObservedFirstToken, Stalled: true})
+	}
 	r.Avoid, r.AvoidDecode = policy.None, r.Decode
 	r.Split = false
 	if ok, _ := s.opts.Retry.Retry(now, r, policy.RefusedNotRun); !ok {
@@ -343,7 +348,11 @@
 		r.PossibleRuns++
 	}
 	if o == policy.FailedBeforeSend {
-		r.UnsentAttempts++
+		if r.PromptDone {
+			o = policy.RefusedNotRun // another engine has read the prompt, so the attempt was sent
+		} else {
+			r.UnsentAttempts++
+		}
 	}
 	r.Avoid, r.AvoidDecode = r.Prefill, r.Decode
 	r.Prefill, r.Decode = policy.None, policy.None
