Refuse parts of prompts that crash upstreams

Cause: crashes were counted for whole requests.

Evidence: in the logs (field parts) all requests that end a server share one part, at any entry VM, and each fingerprint has one crash.

Change: quarantine.PartLedger collects, from all entry VMs, the parts of the runs that a crash broke off before their answer had begun, rules out those that are shown to be sound, and refuses the rest: at once, before each send, and for requests in queues and in flight. A refused part is tried again by one send over all entry VMs after 15 s, 2 min, 16 min and then once a day.

Why it works: a part that crashes upstreams never comes to a good end, sound parts beside it do; proof is kept for each pair of part and crash, so that the order of reports doesn't matter.

Failed before: TestAPartOfPromptsThatCrashesServers, TestAPartThatCrashesServersIsRefusedAlone (9 cases: 15 to 100 crashes, 7 to 77 sends after the fifth; now 3 to 8 crashes, at most 2 sends), TestAnEntryVMThatMissedTheCrashesRefusesThePart, and the rest of parts_test.go, which needs the ledger. First tries: without the bound on crashes that happen together, 5 of 16,000 sound requests were refused when 7 of 9 upstreams ended at once; with trials told by the time left, each message moved the trial away.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -236,7 +236,13 @@
 	})
 	var archive *quarantine.Archive
 	e.crashes = quarantine.NewLedger(quarantine.LedgerOptions{
-		Log: e.log, OnRefused: func(fp quarantine.Fingerprint, crashes []uint32) { archive.Enqueue(fp, crashes) },
+		Log: e.log,
+		Parts: quarantine.NewPartLedger(quarantine.PartLedgerOptions{
+			Log: e.log, Broadcast: func(n quarantine.PartNotice) { e.loads.QueuePartNotice(n) },
+			OnRefused:  func(s quarantine.RefusedPart) { archive.EnqueuePart(s) },
+			OnAdmitted: func(part quarantine.PartID) { archive.RemovePart(part) },
+		}),
+		OnRefused: func(fp quarantine.Fingerprint, crashes []uint32) { archive.Enqueue(fp, crashes) },
 		Broadcast: func(fp quarantine.Fingerprint, crash uint32) {
 			e.loads.QueueCrash(loads.Crash{Request: uint64(fp), ID: crash})
 		},
@@ -271,6 +277,7 @@
 			return nil
 		case <-t.C:
 			e.crashes.RebroadcastRefused(rebroadcastLimit)
+			e.crashes.Parts().Rebroadcast(partRebroadcastLimit)
 		}
 	}
 }
@@ -278,6 +285,8 @@
 const (
 	rebroadcastInterval = time.Second
 	rebroadcastLimit    = 16 // fingerprints with three crashes each; a datagram holds 48 crashes
+	// partRebroadcastLimit is in parts with up to five crashes and two notices each; a datagram holds 24 notices.
+	partRebroadcastLimit = 6
 )
 
 // confirmationTTL is how long a confirmation of the configuration counts. The store answers a watch every two seconds.
@@ -295,9 +304,10 @@
 	}
 	e.loads = loads.New(loads.Options{
 		List: e.list, Transport: udp, Port: e.peerPort(loadsPort), Secret: e.settings.PeerSecret, Boot: e.boot, RunInScheduler: e.gateway.Do, Log: e.log,
-		OnGone:  func(upstream string) { e.markLeaving(upstream, "peer") },
-		OnCrash: func(c loads.Crash) { e.crashes.Receive(quarantine.Fingerprint(c.Request), c.ID) },
-		OnLimit: func(l loads.Limit) { e.permits.Learn(l) },
+		OnGone:       func(upstream string) { e.markLeaving(upstream, "peer") },
+		OnCrash:      func(c loads.Crash) { e.crashes.Receive(quarantine.Fingerprint(c.Request), c.ID) },
+		OnPartNotice: func(n quarantine.PartNotice) { e.crashes.Parts().Receive(n) },
+		OnLimit:      func(l loads.Limit) { e.permits.Learn(l) },
 	})
 	e.addActor("loads", e.loads.Run)
 	return nil
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -51,6 +51,9 @@
 
 // roundTrip sends a request and returns the answer. It fails if the upstream states that it did not run the request.
 func (x *exchange) roundTrip(ctx context.Context, to *topo.Upstream, s *Send) (*runResponse, Answer, error) {
+	if err := x.checkSend(); err != nil {
+		return nil, Answer{}, err
+	}
 	x.sends.Add(1)
 	run := x.beginRun(to)
 	sentAt := time.Now()
@@ -214,7 +217,7 @@
 func (x *exchange) attemptStream(ctx context.Context, p *gateway.Placement) error {
 	x.logSend(p)
 	handle := ""
-	if p.Prefill.Name != p.Decode.Name {
+	if p.Prefill.Name != p.Decode.Name && !x.trial { // a trial is one send
 		var err error
 		if handle, err = x.computePrompt(ctx, p); err != nil {
 			return err
@@ -377,6 +380,9 @@
 		if first && !p.Win() {
 			return errOtherAttemptWon
 		}
+		if first {
+			resp.run.answered()
+		}
 		if !x.begun.Load() {
 			x.beginStream(resp)
 		}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -23,18 +24,47 @@
 			return refusal
 		}
 		defer done()
-		if wait > 0 {
+		trialWait, refusal := x.beginTrial()
+		if refusal != nil {
+			return refusal
+		}
+		if wait = max(wait, trialWait); wait > 0 {
 			if err := (store.SystemClock{}).Sleep(ctx, wait); err != nil {
 				return result.New(result.CallerGone, "the request ended before it was sent").WithExecution(result.NotRun).WithCause(err)
 			}
 			if refusal := x.f.opts.Crashes.Confirm(x.fingerprint); refusal != nil {
 				return refusal
 			}
+			if trialWait > 0 {
+				if refusal := x.f.opts.Crashes.Parts().ConfirmTrial(x.parts); refusal != nil {
+					return refusal
+				}
+				x.trial = true
+			}
 		}
 		return attempt(ctx, p)
 	}
 }
 
+// beginTrial begins a trial if a part of the prompt is refused and due to be tried. wait is above 0 for a trial.
+func (x *exchange) beginTrial() (wait time.Duration, refusal *result.Error) {
+	if x.trial {
+		return 0, nil // checkSend allows no further send
+	}
+	return x.f.opts.Crashes.Parts().BeginTrial(x.parts)
+}
+
+// checkSend returns an error if a part of the prompt is refused. A trial allows one send.
+func (x *exchange) checkSend() error {
+	if x.trial && x.trialSent.CompareAndSwap(false, true) {
+		return nil
+	}
+	if refusal := x.f.opts.Crashes.Parts().CheckSend(x.parts); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 // run is one send, as it is recorded in the crash ledger.
 type run struct {
 	x     *exchange
@@ -43,10 +73,16 @@
 }
 
 func (x *exchange) beginRun(to *topo.Upstream) *run {
-	x.f.opts.Crashes.RunSent(x.fingerprint, to.Name)
+	x.f.opts.Crashes.RunSent(x.fingerprint, to.Name, x.parts...)
 	return &run{x: x, to: *to}
 }
 
+// answered records that the first event has arrived.
+func (r *run) answered() {
+	r.x.f.opts.Crashes.RunAnswered(r.x.fingerprint, r.to.Name)
+	r.x.knownCrashes = r.x.f.opts.Crashes.Parts().Known(r.x.parts)
+}
+
 // end records that the run has ended for a reason other than a break by its upstream. It has no effect on a run that
 // has ended.
 func (r *run) end() {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -144,7 +145,12 @@
 	route       *routes.Route
 	service     string
 	fingerprint quarantine.Fingerprint
-	body        []byte
+	parts       []quarantine.PartID // shared parts of the prompt
+	// knownCrashes are the crashes that the parts were blamed for when the answer began.
+	knownCrashes []uint32
+	trial        bool // the request tries a refused part
+	trialSent    atomic.Bool
+	body         []byte
 	// reserved is the part of the body memory, in bytes, that is held until the request ends, since the body may be
 	// sent again.
 	reserved int64
@@ -198,15 +204,33 @@
 	if err = f.opts.Crashes.Check(x.fingerprint); err != nil {
 		return err
 	}
+	parts := f.opts.Crashes.Parts()
+	x.parts = sharedParts(x.call.Parts)
+	if err = parts.Check(x.parts); err != nil {
+		return err
+	}
+	x.knownCrashes = parts.Known(x.parts)
 	ctx, cancel := x.withDeadline()
 	defer cancel()
+	ctx, abandon := context.WithCancelCause(ctx)
+	defer abandon(nil)
+	stopWatch := parts.Watch(x.parts, func(refusal *result.Error) {
+		if !x.begun.Load() {
+			abandon(refusal)
+		}
+	})
+	defer stopWatch()
 	if err = f.opts.Gateway.Submit(ctx, x.gatewayWork()); err != nil {
+		if refusal := new(result.Error); errors.As(context.Cause(ctx), &refusal) {
+			return refusal.WithExecution(err.Execution)
+		}
 		if x.answer = x.fallback.Load(); x.answer == nil || x.begun.Load() || x.r.Context().Err() != nil {
 			return x.timeoutError(ctx, err)
 		}
 	}
 	if x.answer == nil || x.answer.status/100 == 2 {
 		f.opts.Crashes.Completed(x.fingerprint)
+		parts.Completed(x.parts, x.knownCrashes)
 	}
 	if x.answer != nil {
 		x.writeAnswer(x.answer)
@@ -303,6 +327,20 @@
 	return &gateway.Work{Request: q, Fingerprint: x.fingerprint, Attempt: x.withCrashGuard(attempt)}
 }
 
+// sharedParts returns the parts of a prompt that other requests may share: all but the last.
+func sharedParts(parts []policy.Part) []quarantine.PartID {
+	if len(parts) < 2 {
+		return nil
+	}
+	out := make([]quarantine.PartID, 0, len(parts)-1)
+	for _, p := range parts[:len(parts)-1] {
+		if id := quarantine.PartID(p.ID); !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // EngineModel returns the name of a model qualified by its service, since services may use the same name for different
 // models.
 func EngineModel(service, model string) string { return service + "/" + model }
--- a/forward/record.go
+++ b/forward/record.go
@@ -58,11 +58,11 @@
 // partIDs returns the identifiers of the prompt's shared parts in hexadecimal, comma-separated.
 func (x *exchange) partIDs() string {
 	var b []byte
-	for i := range len(x.call.Parts) - 1 {
+	for i, part := range x.parts {
 		if i > 0 {
 			b = append(b, ',')
 		}
-		b = strconv.AppendUint(b, x.call.Parts[i].ID, 16)
+		b = strconv.AppendUint(b, uint64(part), 16)
 	}
 	return string(b)
 }
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -25,6 +25,7 @@
 
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/quarantine"
 	"bergamotcroft.example/bergamot/scheduler"
 )
 
@@ -42,6 +43,9 @@
 	// OnCrash is called with each crash that a peer reports, possibly more than once. It must not block, and may be
 	// nil.
 	OnCrash func(Crash)
+	// OnPartNotice is called with each notice of a peer about crashing parts, possibly more than once. It must not block, and
+	// may be nil.
+	OnPartNotice func(quarantine.PartNotice)
 	// OnLimit is called with each limit of an upstream that a peer reports, possibly more than once. It must not block, and
 	// may be nil.
 	OnLimit func(Limit)
@@ -87,8 +91,9 @@
 	pendingGone        notices[uint32]      // to be sent: hashes of upstreams that are gone
 	pendingCrashes     notices[Crash]       // to be sent
 	pendingLimits      limitQueue           // to be sent
-	peerLoads          map[uint32]load      // sums over all peers, by the upstream's hash
-	dirty              map[uint32]struct{}  // upstreams whose sum has changed since the last round
+	pendingParts       notices[quarantine.PartNotice]
+	peerLoads          map[uint32]load     // sums over all peers, by the upstream's hash
+	dirty              map[uint32]struct{} // upstreams whose sum has changed since the last round
 
 	seq      uint64
 	lastOwn  []load
@@ -314,18 +319,19 @@
 	var placements []placement
 	placements, x.pendingPlacements = takeQueued(x.pendingPlacements, maxPlacements)
 	gone, crashes, limits := x.pendingGone.take(maxGone), x.pendingCrashes.take(maxCrashes), x.pendingLimits.take(now)
+	partNotices := x.pendingParts.take(maxPartNotices)
 	x.mu.Unlock()
 	idle := len(own) == 0 && len(x.lastOwn) == 0
 	due := refreshInterval
 	if idle {
 		due = keepAliveInterval
 	}
-	if len(placements)+len(gone)+len(crashes)+len(limits) == 0 && slices.Equal(own, x.lastOwn) && now.Sub(x.lastSent) < due {
+	if len(placements)+len(gone)+len(crashes)+len(limits)+len(partNotices) == 0 && slices.Equal(own, x.lastOwn) && now.Sub(x.lastSent) < due {
 		return
 	}
 	x.seq++
 	x.lastOwn, x.lastSent = own, now
-	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, placements: placements, gone: gone, crashes: crashes, limits: limits}
+	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, placements: placements, gone: gone, crashes: crashes, limits: limits, partNotices: partNotices}
 	x.sendMessage(x.recipients(), m)
 }
 
@@ -409,6 +415,7 @@
 	}
 	x.handleDirect(now, from, &m)
 	x.reportCrashes(&m)
+	x.reportPartNotices(&m)
 	x.reportLimits(now, &m)
 }
 
@@ -428,6 +435,7 @@
 	if x.relaying.active {
 		x.relaying.gone.add(m.gone...)
 		x.relaying.crashes.add(m.crashes...)
+		x.relaying.partNotices.add(m.partNotices...)
 		for _, n := range m.limits {
 			x.relaying.limits.add(n.limit(now))
 		}
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -16,6 +16,7 @@
 	_ "bergamotcroft.example/bergamot/policy/health"
 	_ "bergamotcroft.example/bergamot/policy/retry"
 	"bergamotcroft.example/bergamot/policy/routing"
+	"bergamotcroft.example/bergamot/quarantine"
 	"bergamotcroft.example/bergamot/scheduler"
 	"bergamotcroft.example/bergamot/topo"
 )
@@ -102,9 +103,19 @@
 				time.Duration(rapid.IntRange(0, 1000).Draw(t, "age")) * time.Millisecond,
 			})
 		}
+		for range rapid.IntRange(0, 5).Draw(t, "notices") {
+			n := quarantine.PartNotice{
+				Kind: quarantine.PartNoticeKind(rapid.Byte().Draw(t, "kind")), Crash: rapid.Uint32().Draw(t, "of"),
+				Age: time.Duration(rapid.IntRange(0, 1000).Draw(t, "crashed")) * time.Millisecond,
+			}
+			for i := range rapid.IntRange(0, quarantine.MaxNoticeParts).Draw(t, "parts of a prompt") {
+				n.Parts[i] = quarantine.PartID(rapid.Uint64Min(1).Draw(t, "part of a prompt"))
+			}
+			m.partNotices = append(m.partNotices, n)
+		}
 		b := m.encode()
 		got, err := decode(b)
-		if err != nil || got.boot != m.boot || got.seq != m.seq || got.dataCentre != m.dataCentre || got.part != m.part || got.parts != m.parts || !slices.Equal(got.loads, m.loads) || len(got.placements) != len(m.placements) || !slices.Equal(got.gone, m.gone) || !slices.Equal(got.crashes, m.crashes) || !slices.Equal(got.limits, m.limits) {
+		if err != nil || !slices.Equal(got.partNotices, m.partNotices) || got.boot != m.boot || got.seq != m.seq || got.dataCentre != m.dataCentre || got.part != m.part || got.parts != m.parts || !slices.Equal(got.loads, m.loads) || len(got.placements) != len(m.placements) || !slices.Equal(got.gone, m.gone) || !slices.Equal(got.crashes, m.crashes) || !slices.Equal(got.limits, m.limits) {
 			t.Fatalf("%v: %+v is not %+v", err, got, m)
 		}
 		_, _ = decode(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")])
@@ -341,23 +352,28 @@
 	is.Equal(told, []string{"a", "b"})
 }
 
-// Guards against a request that crashes upstreams through entry VMs that have not received its crashes: those of the
+// Guards against a request, or a part of a prompt, that crashes upstreams through entry VMs that have not received its crashes: those of the
 // same data centre and, through the relays, of the others receive each crash and what follows it.
 func TestCrashesAreReportedToPeers(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	x, relay, w, address, neighbour := twoRelays(t, now)
 	var told, near []Crash
+	var notices []quarantine.PartNotice
 	relay.opts.OnCrash = func(c Crash) { told = append(told, c) }
+	relay.opts.OnPartNotice = func(n quarantine.PartNotice) { notices = append(notices, n) }
 	x.opts.OnCrash = func(c Crash) { near = append(near, c) }
 	heard, own := Crash{1 << 60, 7}, Crash{5, 0}
-	x.handleMessage(now, neighbour, message{boot: 1, seq: 1, crashes: []Crash{heard}})
+	noticeHeard, noticeOwn := quarantine.PartNotice{Kind: quarantine.PartBlamed, Crash: 3}, quarantine.PartNotice{Kind: quarantine.PartSound, Crash: 4}
+	x.handleMessage(now, neighbour, message{boot: 1, seq: 1, crashes: []Crash{heard}, partNotices: []quarantine.PartNotice{noticeHeard}})
 	is.Equal(near, []Crash{heard})
 	x.QueueCrash(own)
+	x.QueuePartNotice(noticeOwn)
 	now = now.Add(relayInterval)
 	x.round(t.Context(), now)
 	deliverLast(t, w, relay, address, now)
 	is.True(slices.Contains(told, heard) && slices.Contains(told, own))
+	is.True(slices.Contains(notices, noticeHeard) && slices.Contains(notices, noticeOwn))
 }
 
 // Guards against received bytes that crash the process or exhaust its memory: a decoded message is bounded, and
--- a/loads/message.go
+++ b/loads/message.go
@@ -6,6 +6,7 @@
 
 	"bergamotcroft.example/bergamot/internal/wire"
 	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/quarantine"
 )
 
 // message is the content of one datagram.
@@ -21,6 +22,8 @@
 	// crashes are requests that crashed an upstream, and changes of their state since.
 	crashes []Crash
 	limits  []limitNotice
+	// partNotices are about parts of prompts that crash upstreams.
+	partNotices []quarantine.PartNotice
 }
 
 // Crash reports that a request crashed an upstream, or a later state of that request.
@@ -88,7 +91,7 @@
 		b = binary.BigEndian.AppendUint64(b, c.Request)
 		b = binary.BigEndian.AppendUint32(b, c.ID)
 	}
-	return appendLimits(b, m.limits)
+	return appendPartNotices(appendLimits(b, m.limits), m.partNotices)
 }
 
 func decode(b []byte) (message, error) {
@@ -116,6 +119,7 @@
 		m.crashes = append(m.crashes, Crash{binary.BigEndian.Uint64(r.Fixed(8)), binary.BigEndian.Uint32(r.Fixed(4))})
 	}
 	m.limits = readLimits(&r)
+	m.partNotices = readPartNotices(&r)
 	if r.Malformed {
 		return message{}, errMalformed
 	}
--- a/loads/relay.go
+++ b/loads/relay.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotcroft.example/bergamot/membership"
+	"bergamotcroft.example/bergamot/quarantine"
 )
 
 // In a large fleet each entry VM sends its loads to those of its own data centre. One VM of each data centre, its relay,
@@ -29,13 +30,14 @@
 	maxDataCentreBytes = 64
 )
 
-// relayState is the state of a relay. The lock of the Exchange guards active, placements, gone, crashes and limits.
+// relayState is the state of a relay. The lock of the Exchange guards active and the queues.
 type relayState struct {
-	active     bool // this VM is the relay of its data centre
-	placements []placement
-	gone       notices[uint32]
-	crashes    notices[Crash]
-	limits     limitQueue
+	active      bool // this VM is the relay of its data centre
+	placements  []placement
+	gone        notices[uint32]
+	crashes     notices[Crash]
+	limits      limitQueue
+	partNotices notices[quarantine.PartNotice]
 
 	relays         map[string]membership.Member // the relay of each data centre
 	relaysChosenAt time.Time
@@ -75,6 +77,7 @@
 	x.relaying.active = active
 	if !active {
 		x.relaying.placements, x.relaying.gone, x.relaying.crashes, x.relaying.limits = nil, nil, nil, nil
+		x.relaying.partNotices = nil
 		x.mu.Unlock()
 		return
 	}
@@ -95,8 +98,8 @@
 	placements := x.relaying.placements
 	placements = placements[:min(len(placements), maxRelayedPlacements*parts)]
 	gone, crashes := x.relaying.gone.take(maxGone), x.relaying.crashes.take(maxCrashes)
-	limits := x.relaying.limits.take(now)
-	if len(placements)+len(gone)+len(crashes)+len(limits) == 0 && slices.Equal(loads, x.relaying.lastSum) && now.Sub(x.relaying.sentAt) < refreshInterval {
+	limits, partNotices := x.relaying.limits.take(now), x.relaying.partNotices.take(maxPartNotices)
+	if len(placements)+len(gone)+len(crashes)+len(limits)+len(partNotices) == 0 && slices.Equal(loads, x.relaying.lastSum) && now.Sub(x.relaying.sentAt) < refreshInterval {
 		x.mu.Unlock()
 		return
 	}
@@ -123,6 +126,7 @@
 		m.gone, gone = gone, nil // only in the first part
 		m.crashes, crashes = crashes, nil
 		m.limits, limits = limits, nil
+		m.partNotices, partNotices = partNotices, nil
 		x.sendMessage(to, m)
 	}
 }
@@ -150,6 +154,7 @@
 	x.mu.Unlock()
 	x.TriggerRound()
 	x.reportCrashes(&m)
+	x.reportPartNotices(&m)
 	x.reportLimits(now, &m)
 	if !active {
 		return
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -12,12 +13,12 @@
 	"bergamotcroft.example/bergamot/store"
 )
 
-// Archive stores the fingerprints that a Ledger refuses, so that the bound on crashes holds when all entry VMs restart
-// at once. The store is read once, at the start, and written only when a fingerprint becomes refused. No request waits
-// for the store.
+// Archive stores the fingerprints and the parts that a Ledger refuses, so that the bounds on crashes hold when all entry
+// VMs restart at once. The store is read once, at the start, and written only when a refusal changes. No request waits for
+// the store.
 type Archive struct {
 	opts    ArchiveOptions
-	pending chan pendingRefusal
+	pending chan archiveChange
 	written []writtenRefusal
 }
 
@@ -25,36 +26,45 @@
 type ArchiveOptions struct {
 	Store  store.Store
 	Ledger *Ledger
-	// Expiry is how long a refusal is kept; default 10 min, as in a Ledger.
+	// Expiry is how long the refusal of a fingerprint is kept; default 10 min, as in a Ledger.
 	Expiry time.Duration
 	Clock  store.Clock
 	Log    *zap.Logger
 }
 
-// archiveKind is the kind of the objects. Their names are fingerprints in hexadecimal.
-const archiveKind = "crashing-requests"
+// Kinds of the objects. Their names are fingerprints and parts in hexadecimal.
+const (
+	archiveKind     = "crashing-requests"
+	partArchiveKind = "crashing-parts"
+)
 
 const (
-	archiveQueueCapacity = 64          // refusals waiting to be written; few, since each takes three crashes
-	archiveWriteAttempts = 6           // attempts per write; with the store's back-off they take about a second
-	archiveSweepInterval = time.Minute // between two removals of expired refusals
+	archiveQueueCapacity = 64             // changes waiting to be written; few, since a refusal takes three crashes
+	archiveWriteAttempts = 6              // attempts per write; with the store's back-off they take about a second
+	archiveSweepInterval = time.Minute    // between two removals of expired refusals
+	partArchiveExpiry    = 24 * time.Hour // of the refusal of a part, which is tried again before
 )
 
-type pendingRefusal struct {
-	fp      Fingerprint
-	crashes []uint32
+// archiveChange is an object to be written, or to be removed if the refusal has no crashes.
+type archiveChange struct {
+	kind, name string
+	refusal    storedRefusal
 }
 
 // storedRefusal is the stored form of a refusal.
 type storedRefusal struct {
 	Crashes []uint32 `json:"crashes"`
 	AtMS    int64    `json:"at_ms"` // Unix milliseconds
+	// Only for parts:
+	Mates       []PartID `json:"mates,omitempty"`
+	Trials      int      `json:"trials,omitempty"`
+	NextTrialMS int64    `json:"next_trial_ms,omitempty"` // Unix milliseconds
 }
 
 type writtenRefusal struct {
-	name    string
-	version uint64
-	at      time.Time
+	kind, name string
+	version    uint64
+	at         time.Time
 }
 
 // NewArchive returns an Archive. It reads and writes nothing until Run is called.
@@ -66,30 +76,41 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Archive{opts: o, pending: make(chan pendingRefusal, archiveQueueCapacity)}
+	return &Archive{opts: o, pending: make(chan archiveChange, archiveQueueCapacity)}
 }
 
 // Enqueue queues a refused fingerprint to be written. It does not block; if the queue is full, the refusal is not
 // written.
 func (a *Archive) Enqueue(fp Fingerprint, crashes []uint32) {
+	a.enqueue(archiveChange{archiveKind, objectName(uint64(fp)), storedRefusal{Crashes: crashes}})
+}
+
+// EnqueuePart is like Enqueue, for a refused part.
+func (a *Archive) EnqueuePart(s RefusedPart) {
+	a.enqueue(archiveChange{partArchiveKind, objectName(uint64(s.Part)), storedRefusal{
+		Crashes: s.Crashes, Mates: s.Mates, Trials: s.Trials, NextTrialMS: s.NextTrial.UnixMilli(),
+	}})
+}
+
+// RemovePart queues the removal of a part that is no longer refused.
+func (a *Archive) RemovePart(part PartID) {
+	a.enqueue(archiveChange{kind: partArchiveKind, name: objectName(uint64(part))})
+}
+
+func (a *Archive) enqueue(c archiveChange) {
 	select {
-	case a.pending <- pendingRefusal{fp, crashes}:
+	case a.pending <- c:
 	default:
-		a.opts.Log.Warn("refusal not archived", zap.Uint64("fingerprint", uint64(fp)), zap.String("why", "queue is full"))
+		a.opts.Log.Warn("refusal not archived", zap.String("kind", c.kind), zap.String("name", c.name), zap.String("why", "queue is full"))
 	}
 }
 
+func objectName(id uint64) string { return strconv.FormatUint(id, 16) }
+
 // Run passes the stored refusals to the ledger and then writes queued refusals until ctx ends.
 func (a *Archive) Run(ctx context.Context) error {
-	for failures := 0; ; failures++ {
-		err := a.load(ctx)
-		if err == nil {
-			break
-		}
-		a.opts.Log.Info("archive of refusals not read", zap.Int("failures", failures+1), zap.Error(err))
-		if a.opts.Clock.Sleep(ctx, store.Backoff(failures+1)) != nil {
-			return nil
-		}
+	if !a.loadKind(ctx, archiveKind, a.opts.Expiry, a.restoreFingerprint) || !a.loadKind(ctx, partArchiveKind, partArchiveExpiry, a.restorePart) {
+		return nil
 	}
 	t := time.NewTicker(archiveSweepInterval)
 	defer t.Stop()
@@ -97,16 +118,49 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case r := <-a.pending:
-			a.write(ctx, r)
+		case c := <-a.pending:
+			if len(c.refusal.Crashes) == 0 {
+				a.removeCurrent(ctx, c)
+			} else {
+				a.write(ctx, c)
+			}
 		case <-t.C:
 			a.sweep(ctx)
 		}
 	}
 }
 
-func (a *Archive) load(ctx context.Context) error {
-	list, _, err := a.opts.Store.List(ctx, archiveKind, "")
+func (a *Archive) restoreFingerprint(id uint64, v *storedRefusal) {
+	for _, crash := range v.Crashes[:min(len(v.Crashes), a.opts.Ledger.opts.Limit)] {
+		a.opts.Ledger.Receive(Fingerprint(id), max(crash, firstCrash))
+	}
+}
+
+func (a *Archive) restorePart(id uint64, v *storedRefusal) {
+	const maxCrashes, maxMates = 16, 64 // bounds of what another writer may have stored
+	a.opts.Ledger.Parts().Restore(RefusedPart{
+		Part: PartID(id), Mates: v.Mates[:min(len(v.Mates), maxMates)], Crashes: v.Crashes[:min(len(v.Crashes), maxCrashes)], Trials: v.Trials,
+		NextTrial: time.UnixMilli(v.NextTrialMS),
+	})
+}
+
+// loadKind reads the refusals of a kind and passes those in force to restore. It retries until it succeeds and returns
+// false if ctx has ended.
+func (a *Archive) loadKind(ctx context.Context, kind string, expiry time.Duration, restore func(uint64, *storedRefusal)) bool {
+	for failures := 0; ; failures++ {
+		err := a.load(ctx, kind, expiry, restore)
+		if err == nil {
+			return true
+		}
+		a.opts.Log.Info("archive of refusals not read", zap.String("kind", kind), zap.Int("failures", failures+1), zap.Error(err))
+		if a.opts.Clock.Sleep(ctx, store.Backoff(failures+1)) != nil {
+			return false
+		}
+	}
+}
+
+func (a *Archive) load(ctx context.Context, kind string, expiry time.Duration, restore func(uint64, *storedRefusal)) error {
+	list, _, err := a.opts.Store.List(ctx, kind, "")
 	if err != nil && !errors.Is(err, store.ErrNotFound) { // ErrNotFound: the kind has no objects
 		return err
 	}
@@ -115,56 +169,96 @@
 	for i := range list {
 		o := &list[i]
 		var v storedRefusal
-		fp, err := strconv.ParseUint(o.Name, 16, 64)
+		id, err := strconv.ParseUint(o.Name, 16, 64)
 		if err == nil {
 			err = json.Unmarshal(o.Value, &v)
 		}
-		if err != nil || now.Sub(time.UnixMilli(v.AtMS)) > a.opts.Expiry {
-			a.remove(ctx, o.Name, o.Version) // the entry VM that wrote it may be gone
+		if err != nil || now.Sub(time.UnixMilli(v.AtMS)) > expiry {
+			a.remove(ctx, kind, o.Name, o.Version) // the entry VM that wrote it may be gone
 			continue
 		}
-		for _, id := range v.Crashes[:min(len(v.Crashes), a.opts.Ledger.opts.Limit)] {
-			a.opts.Ledger.Receive(Fingerprint(fp), max(id, firstCrash))
-		}
+		restore(id, &v)
 		loaded++
 	}
-	a.opts.Log.Info("archive of refusals read", zap.Int("objects", len(list)), zap.Int("in_force", loaded))
+	a.opts.Log.Info("archive of refusals read", zap.String("kind", kind), zap.Int("objects", len(list)), zap.Int("in_force", loaded))
 	return nil
 }
 
-func (a *Archive) write(ctx context.Context, r pendingRefusal) {
+// write writes a refusal. It replaces the stored refusal of a part, whose trials change.
+func (a *Archive) write(ctx context.Context, c archiveChange) {
 	now := a.opts.Clock.Now()
-	value, err := json.Marshal(storedRefusal{r.crashes, now.UnixMilli()})
+	c.refusal.AtMS = now.UnixMilli()
+	value, err := json.Marshal(c.refusal)
 	if err != nil {
 		a.opts.Log.Error("refusal not archived", zap.Error(err)) // can't happen: all fields are numbers
 		return
 	}
-	name := strconv.FormatUint(uint64(r.fp), 16)
+	o := store.Object{Kind: c.kind, Name: c.name, Value: value}
 	var version uint64
 	for try := range archiveWriteAttempts {
-		version, err = a.opts.Store.Put(ctx, store.Object{Kind: archiveKind, Name: name, Value: value})
+		version, err = a.opts.Store.Put(ctx, o)
+		if errors.Is(err, store.ErrConflict) && c.kind == partArchiveKind {
+			o.Version, err = a.currentVersion(ctx, c)
+			if err == nil {
+				version, err = a.opts.Store.Put(ctx, o)
+			}
+		}
 		if err == nil || errors.Is(err, store.ErrConflict) || a.opts.Clock.Sleep(ctx, store.Backoff(try+1)) != nil {
 			break
 		}
 	}
-	a.opts.Log.Info("refusal archived", zap.Uint64("fingerprint", uint64(r.fp)), zap.Error(err))
+	a.opts.Log.Info("refusal archived", zap.String("kind", c.kind), zap.String("name", c.name), zap.Error(err))
 	if err == nil {
-		a.written = append(a.written, writtenRefusal{name, version, now})
+		a.written = slices.DeleteFunc(a.written, func(w writtenRefusal) bool { return w.kind == c.kind && w.name == c.name })
+		a.written = append(a.written, writtenRefusal{c.kind, c.name, version, now})
+	}
+}
+
+// currentVersion returns the version of a stored refusal, or 0 if there is none.
+func (a *Archive) currentVersion(ctx context.Context, c archiveChange) (uint64, error) {
+	o, err := a.opts.Store.Get(ctx, c.kind, c.name)
+	if errors.Is(err, store.ErrNotFound) {
+		return 0, nil
 	}
+	return o.Version, err
+}
+
+// removeCurrent removes a refusal whichever entry VM wrote it.
+func (a *Archive) removeCurrent(ctx context.Context, c archiveChange) {
+	for try := range archiveWriteAttempts {
+		version, err := a.currentVersion(ctx, c)
+		if err == nil && version == 0 {
+			return
+		}
+		if err == nil {
+			err = a.opts.Store.Delete(ctx, c.kind, c.name, version)
+		}
+		if err == nil || errors.Is(err, store.ErrNotFound) || a.opts.Clock.Sleep(ctx, store.Backoff(try+1)) != nil {
+			return
+		}
+	}
+	a.opts.Log.Info("refusal not removed", zap.String("kind", c.kind), zap.String("name", c.name)) // it expires
 }
 
 // sweep removes expired refusals that this entry VM wrote. Those of entry VMs that are gone are removed when an entry
 // VM next starts.
 func (a *Archive) sweep(ctx context.Context) {
 	now := a.opts.Clock.Now()
-	for len(a.written) > 0 && now.Sub(a.written[0].at) > a.opts.Expiry {
-		a.remove(ctx, a.written[0].name, a.written[0].version)
-		a.written = a.written[1:]
-	}
+	a.written = slices.DeleteFunc(a.written, func(w writtenRefusal) bool {
+		expiry := a.opts.Expiry
+		if w.kind == partArchiveKind {
+			expiry = partArchiveExpiry
+		}
+		if now.Sub(w.at) <= expiry {
+			return false
+		}
+		a.remove(ctx, w.kind, w.name, w.version)
+		return true
+	})
 }
 
-func (a *Archive) remove(ctx context.Context, name string, version uint64) {
-	if err := a.opts.Store.Delete(ctx, archiveKind, name, version); err != nil && !errors.Is(err, store.ErrNotFound) {
-		a.opts.Log.Info("expired refusal not removed", zap.String("name", name), zap.Error(err)) // retried at the next start
+func (a *Archive) remove(ctx context.Context, kind, name string, version uint64) {
+	if err := a.opts.Store.Delete(ctx, kind, name, version); err != nil && !errors.Is(err, store.ErrNotFound) {
+		a.opts.Log.Info("expired refusal not removed", zap.String("kind", kind), zap.String("name", name), zap.Error(err)) // retried at the next start
 	}
 }
--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,21 +17,39 @@
 type fakeStore struct {
 	store.Store
 	mu      sync.Mutex
-	objects map[string]store.Object
+	objects map[string]store.Object // by kind and name
+	version uint64
 	down    bool
 }
 
-func (s *fakeStore) List(context.Context, string, string) ([]store.Object, uint64, error) {
+func storeKey(kind, name string) string { return kind + "/" + name }
+
+func (s *fakeStore) List(_ context.Context, kind, _ string) ([]store.Object, uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return nil, 0, store.ErrUnavailable
 	}
 	var out []store.Object
-	for _, o := range s.objects {
-		out = append(out, o)
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, kind+"/") {
+			out = append(out, o)
+		}
+	}
+	return out, s.version, nil
+}
+
+func (s *fakeStore) Get(_ context.Context, kind, name string) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return store.Object{}, store.ErrUnavailable
 	}
-	return out, 1, nil
+	o, ok := s.objects[storeKey(kind, name)]
+	if !ok {
+		return o, store.ErrNotFound
+	}
+	return o, nil
 }
 
 func (s *fakeStore) Put(_ context.Context, o store.Object) (uint64, error) {
@@ -39,18 +58,22 @@
 	if s.down {
 		return 0, store.ErrUnavailable
 	}
-	if _, ok := s.objects[o.Name]; ok {
+	if old := s.objects[storeKey(o.Kind, o.Name)]; old.Version != o.Version {
 		return 0, store.ErrConflict
 	}
-	o.Version = 1
-	s.objects[o.Name] = o
-	return 1, nil
+	s.version++
+	o.Version = s.version
+	s.objects[storeKey(o.Kind, o.Name)] = o
+	return o.Version, nil
 }
 
-func (s *fakeStore) Delete(_ context.Context, _, name string, _ uint64) error {
+func (s *fakeStore) Delete(_ context.Context, kind, name string, version uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.objects, name)
+	if s.objects[storeKey(kind, name)].Version != version {
+		return store.ErrConflict
+	}
+	delete(s.objects, storeKey(kind, name))
 	return nil
 }
 
@@ -80,7 +103,9 @@
 func TestRefusalsOutliveAllEntryVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &fakeStore{objects: map[string]store.Object{"no fingerprint": {Name: "no fingerprint"}, "9": {Name: "9", Value: []byte(`[]`)}}}
+		s := &fakeStore{objects: map[string]store.Object{
+			storeKey(archiveKind, "no fingerprint"): {Name: "no fingerprint"}, storeKey(archiveKind, "9"): {Name: "9", Value: []byte(`[]`)},
+		}}
 		ctx, kill := context.WithCancel(t.Context())
 		l := startLedger(ctx, s)
 		time.Sleep(time.Second)
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -47,6 +47,8 @@
 	MaxEntries int // fingerprints kept; default 16384
 	// Broadcast sends a crash identifier, Cleared, Claimed or Released to the other entry VMs. nil: there are none.
 	Broadcast func(fp Fingerprint, crash uint32)
+	// Parts is told which parts of prompts were in flight at a crash; default a ledger of its own.
+	Parts *PartLedger
 	// OnRefused is called when a crash detected at this entry VM makes a fingerprint refused, with its crashes. It must
 	// not block. Optional.
 	OnRefused func(fp Fingerprint, crashes []uint32)
@@ -90,6 +92,9 @@
 	if o.Broadcast == nil {
 		o.Broadcast = func(Fingerprint, uint32) {}
 	}
+	if o.Parts == nil {
+		o.Parts = NewPartLedger(PartLedgerOptions{})
+	}
 	if o.OnRefused == nil {
 		o.OnRefused = func(Fingerprint, []uint32) {}
 	}
@@ -111,6 +116,9 @@
 	}
 }
 
+// Parts returns the ledger of parts that crash upstreams.
+func (l *Ledger) Parts() *PartLedger { return l.opts.Parts }
+
 // Check returns an error if the fingerprint has reached the limit of crashes.
 func (l *Ledger) Check(fp Fingerprint) *result.Error {
 	l.mu.Lock()
--- a/quarantine/runs.go
+++ b/quarantine/runs.go
@@ -24,6 +24,10 @@
 	crash    uint32 // identifier of the crash if the upstream ends during these runs
 	inFlight int
 	brokenAt time.Time // when the last run broke off; zero: none has, or its crash has been counted
+
+	parts      []PartID  // shared parts of the prompt
+	partCrash  uint32    // identifier of the crash in the part ledger
+	answeredAt time.Time // when the first event arrived; zero: none has
 }
 
 const (
@@ -36,8 +40,13 @@
 	sweepEvery      = time.Second
 )
 
-// RunSent records that a run is sent to an upstream. Each RunSent is followed by one RunBroken or RunEnded.
-func (l *Ledger) RunSent(fp Fingerprint, upstream string) {
+// RunSent records that a run is sent to an upstream, with the shared parts of its prompt. Each RunSent is followed by one
+// RunBroken or RunEnded.
+func (l *Ledger) RunSent(fp Fingerprint, upstream string, parts ...PartID) {
+	var partCrash uint32
+	if len(parts) > 0 {
+		partCrash = l.opts.Parts.nextCrash(upstream)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep()
@@ -48,12 +57,30 @@
 	}
 	r := m[fp]
 	if r == nil || r.inFlight <= 0 && r.brokenAt.IsZero() {
-		r = &openRun{crash: l.nextCrash(fp, upstream)}
+		r = &openRun{crash: l.nextCrash(fp, upstream), parts: parts, partCrash: partCrash}
 		m[fp] = r
 	}
 	r.inFlight++
 }
 
+// RunAnswered records that the first event of a run has arrived.
+func (l *Ledger) RunAnswered(fp Fingerprint, upstream string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.runs.byUpstream[upstream][fp]; r != nil && r.answeredAt.IsZero() {
+		r.answeredAt = l.opts.Now()
+	}
+}
+
+// reportParts tells the part ledger of a crash that broke off a run at brokenAt.
+func (l *Ledger) reportParts(r *openRun, brokenAt time.Time) {
+	answered := time.Duration(0)
+	if !r.answeredAt.IsZero() {
+		answered = brokenAt.Sub(r.answeredAt)
+	}
+	l.opts.Parts.runCrashed(r.partCrash, r.parts, answered)
+}
+
 // nextCrash returns the identifier of an upstream's next crash under a fingerprint. All runs that one crash ends, at
 // any entry VM, were sent before the crash was known and compute the same identifier. Runs sent later get another
 // identifier, even if the upstream has restarted under the same name. The lock is held.
@@ -102,6 +129,7 @@
 	}
 	n := l.countBroken(fp, upstream, r)
 	l.mu.Unlock()
+	l.reportParts(r, now)
 	l.opts.Broadcast(fp, r.crash)
 	return n, true
 }
@@ -113,6 +141,7 @@
 	now := l.opts.Now()
 	crashes := map[Fingerprint]int{}
 	ids := map[Fingerprint]uint32{}
+	var reports []func()
 	l.mu.Lock()
 	l.sweep()
 	l.runs.endedProcesses[upstream] = now
@@ -121,9 +150,14 @@
 			continue
 		}
 		ids[fp] = r.crash
+		brokenAt := r.brokenAt
+		reports = append(reports, func() { l.reportParts(r, brokenAt) })
 		crashes[fp] = l.countBroken(fp, upstream, r)
 	}
 	l.mu.Unlock()
+	for _, report := range reports {
+		report()
+	}
 	for fp, id := range ids {
 		l.opts.Broadcast(fp, id)
 	}
--- a/result/codes.go
+++ b/result/codes.go
@@ -54,6 +54,7 @@
 	AnswerTooLarge     Code = 3009
 	CallerTooSlow      Code = 3010
 	ResumeNotAvailable Code = 3011
+	CrashingPart       Code = 3012
 
 	KeyOutcomeUnknown          Code = 4001
 	KeyInProgress              Code = 4002
@@ -122,6 +123,7 @@
 	{AnswerTooLarge, "answer_too_large", http.StatusBadGateway, Ran, false, "The upstream's answer exceeds the buffer for whole answers."},
 	{CallerTooSlow, "caller_too_slow", http.StatusRequestTimeout, Ran, true, "The caller did not read its answer within the write timeout."},
 	{ResumeNotAvailable, "resume_not_available", http.StatusConflict, NotRun, false, "The stream can't be resumed from this offset."},
+	{CrashingPart, "crashing_part", http.StatusUnprocessableEntity, NotRun, true, "A part of the prompt crashed upstreams; requests with it are refused for a time."},
 
 	{KeyOutcomeUnknown, "key_outcome_unknown", http.StatusConflict, Unknown, false, "The request with this idempotency key may have run; it is never run again."},
 	{KeyInProgress, "key_in_progress", http.StatusConflict, Unknown, true, "The request with this idempotency key is running."},
