Leave the retry budget to sends when a hand-over reaches no decoder

What callers saw (soak, part-crash): requests refused with retry_budget_used after hand-overs to decoders whose addresses refused the connection.

TestAnUnsentHandOverLeavesTheRetryBudget failed before; TestAPromptIsNotReadAgainForEachUnsentHandOver still passes.

--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -186,3 +186,20 @@
 	}
 	is.True(prompts <= retry.MaxSentAttempts)
 }
+
+// Guards against a retry budget that is used up by decoders that refuse connections, so that other requests are refused.
+func TestAnUnsentHandOverLeavesTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	s := newSplitScheduler(t)
+	for id := range uint64(200) {
+		now := time.Duration(id) * 5 * time.Millisecond
+		r := &policy.Request{ID: id + 1, Model: "m", PromptTokens: 30000, Deadline: time.Minute, FirstTokenDeadline: 50 * time.Second, ResendsLimited: true}
+		a := s.Offer(now, r)
+		is.Equal(len(a), 1)
+		is.True(a[0].Prefill != a[0].Decode)
+		s.PromptComputed(now, r)
+		is.True(s.RetryHandOver(now, r, policy.FailedBeforeSend) != policy.None)
+		s.FirstToken(now, r)
+		s.Finished(now, r, policy.Completed)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -277,10 +277,13 @@
 	}
 	r.Avoid, r.AvoidDecode = policy.None, r.Decode
 	r.Split = false
-	if ok, _ := s.opts.Retry.Retry(now, r, policy.RefusedNotRun); !ok {
+	if ok, _ := s.opts.Retry.Retry(now, r, o); !ok {
 		return policy.None
 	}
 	r.Attempts++
+	if o == policy.FailedBeforeSend {
+		r.UnsentAttempts++
+	}
 	return s.repickDecoder(now, r)
 }
 
