soak: a part of prompts that crashes servers

Two promises: such a part is sent at most three times later than 3 s after its fifth crash, and no other request is refused for its parts.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -139,6 +139,7 @@
 		fl.currentServer(n).SetLimit(0)
 	},
 	"request-crash": func(fl *fleet, f fault) { fl.sendCrashingRequests(f) },
+	"part-crash":    func(fl *fleet, f fault) { fl.sendCrashingPart(f) },
 	"link-reset":    func(fl *fleet, f fault) { fl.targetNode(f).link.reset() },
 	"link-silence": func(fl *fleet, f fault) {
 		n := fl.targetNode(f)
@@ -256,6 +257,35 @@
 	fl.restarts.Wait()
 }
 
+// Requests with a crashing part are sent for longer than the time within which all entry VMs must know the part.
+const (
+	crashingPartAttempts = 26
+	crashingPartGap      = 400 * time.Millisecond
+)
+
+// sendCrashingPart sends different requests with one part that crashes servers, each through a random entry VM, and waits until
+// the servers are back.
+func (fl *fleet) sendCrashingPart(f fault) {
+	rng := rand.New(rand.NewPCG(fl.options.Seed, uint64(f.at)))
+	part := fmt.Sprintf("%s%x%x", standin.CrashingPartPrefix, f.target, f.at.Milliseconds())
+	var all sync.WaitGroup
+	for n := range crashingPartAttempts {
+		e, class := fl.entries[rng.IntN(len(fl.entries))], []string{"stream", "resume"}[rng.IntN(2)]
+		all.Go(func() {
+			conn, err := standin.Dial(context.Background(), e.callers.address())
+			if err != nil {
+				return // the entry VM is down
+			}
+			defer conn.Close()
+			fl.call(conn, e, class, standin.Attempt{ID: fmt.Sprintf("%s-%s-%d", class, part, n), Host: host, Path: "/" + class + "/x",
+				CrashingPart: part, Deadline: clientDeadline, Streams: true})
+		})
+		time.Sleep(crashingPartGap)
+	}
+	all.Wait()
+	fl.restarts.Wait()
+}
+
 // targetLock returns the lock of one target of a kind, and creates it at its first use.
 func (fl *fleet) targetLock(kind string, index int) *sync.Mutex {
 	fl.mu.Lock()
--- a/soak/judge_upstreams.go
+++ b/soak/judge_upstreams.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotcroft.example/bergamot/platform/standin"
+	"bergamotcroft.example/bergamot/result"
 )
 
 const (
@@ -13,6 +14,9 @@
 	crashLimit = 3
 	// crashPropagation is the users' bound on the time until all entry VMs have learnt of a crash.
 	crashPropagation = 3 * time.Second
+	// partCrashLimit is the number of crashes from which a part of prompts may reach servers partSendLimit times more, later than crashPropagation.
+	partCrashLimit = 5
+	partSendLimit  = 3
 	// quietDelay is the time from an upstream's request for quiet until it is judged. quietMaxRequests is the number of requests that each
 	// entry VM may still send then, besides the one by which it learns of the request for quiet.
 	quietDelay       = 500 * time.Millisecond
@@ -84,6 +88,56 @@
 	}
 }
 
+// judgeCrashingParts checks how often each part that crashes servers reached servers after its fifth crash, and that no other request was
+// refused for its parts. Requests of entry VMs that were disturbed since then don't count.
+func (o *observations) judgeCrashingParts(add addFinding) {
+	runsByPart := map[string][]standin.Run{}
+	for _, runs := range o.runs {
+		for _, r := range runs {
+			if r.Part != "" {
+				runsByPart[r.Part] = append(runsByPart[r.Part], r)
+			}
+		}
+	}
+	entryOf := o.entriesByAttempt()
+	for part, runs := range runsByPart {
+		var crashes []time.Time
+		for _, r := range runs {
+			if r.Crashed {
+				crashes = append(crashes, r.Ended)
+			}
+		}
+		if len(crashes) < partCrashLimit {
+			continue
+		}
+		slices.SortFunc(crashes, time.Time.Compare)
+		known := crashes[partCrashLimit-1].Add(crashPropagation)
+		late := 0
+		for _, r := range runs {
+			if e := entryOf[r.ID]; r.Arrived.After(known) && e != nil && e.undisturbed(known.Add(-crashPropagation), r.Arrived) {
+				late++
+			}
+		}
+		if late > partSendLimit {
+			add("a crashing part ends few servers", "%q ended %d and was sent %d times later than %s after the fifth", part, len(crashes), late, crashPropagation)
+		}
+	}
+	for i := range o.calls {
+		if c := &o.calls[i]; c.Refusal == result.CrashingPart.Info().Name && c.CrashingPart == "" {
+			add("sound prompts are not refused", "%s at %s was refused for a part", c.ID, c.entry.name)
+		}
+	}
+}
+
+// entriesByAttempt returns the entry VM that received each attempt.
+func (o *observations) entriesByAttempt() map[string]*entryVM {
+	entryOf := make(map[string]*entryVM, len(o.calls))
+	for i := range o.calls {
+		entryOf[o.calls[i].ID] = o.calls[i].entry
+	}
+	return entryOf
+}
+
 // judgeLeavingAndQuiet checks which requests reached upstreams after they had announced that they leave or had asked for quiet.
 func (o *observations) judgeLeavingAndQuiet(timed bool, add addFinding) {
 	type entryAndServer struct {
@@ -131,10 +185,7 @@
 // judgeLimits checks how many requests upstreams got while they named a limit. Requests of entry VMs that were disturbed since the limit was
 // named don't count.
 func (o *observations) judgeLimits(add addFinding) {
-	entryOf := make(map[string]*entryVM, len(o.calls))
-	for i := range o.calls {
-		entryOf[o.calls[i].ID] = o.calls[i].entry
-	}
+	entryOf := o.entriesByAttempt()
 	for _, p := range o.limitPeriods {
 		if !o.linkUndisturbed(p.server, p.from, p.to) {
 			continue // requests that were held up arrive together
--- a/soak/observations.go
+++ b/soak/observations.go
@@ -155,6 +155,7 @@
 	}
 	o.judgeRequests(add)
 	o.judgeCrashes(timed, add)
+	o.judgeCrashingParts(add)
 	o.judgeLeavingAndQuiet(timed, add)
 	if timed {
 		o.judgeLimits(add)
--- a/soak/observations_test.go
+++ b/soak/observations_test.go
@@ -56,6 +56,18 @@
 	}
 }
 
+// crashingPart records requests with a crashing part at the given times; those that reach a server crash it.
+func (s *scenario) crashingPart(at ...int) {
+	s.crashingRuns(at...)
+	for _, runs := range s.observed.runs {
+		runs[0].Part, runs[0].Body = "dead1", runs[0].ID
+	}
+	for i := range s.observed.calls {
+		c := &s.observed.calls[i]
+		c.CrashingPart, c.Body = "dead1", c.ID
+	}
+}
+
 // runsDuringQuiet records requests at the given times to a server that asks for quiet for the first second.
 func (s *scenario) runsDuringQuiet(at ...int) {
 	s.observed.quietPeriods = []quietPeriod{{interval{s.after(0), s.after(1000)}, "i"}}
@@ -182,6 +194,15 @@
 			s.entry.disturbances = []interval{{s.after(0), s.after(9000)}}
 			s.crashingRuns(0, 100, 200, 300, 4000, 4100, 4200)
 		}},
+		{"", func(s *scenario) { s.crashingPart(0, 100, 200, 300, 400, 500, 3500, 3600, 3700) }},
+		{"a crashing part ends few servers", func(s *scenario) { s.crashingPart(0, 100, 200, 300, 400, 3500, 3600, 3700, 3800) }},
+		{"", func(s *scenario) { // the entry VM was disturbed
+			s.entry.disturbances = []interval{{s.after(3000), s.after(3300)}}
+			s.crashingPart(0, 100, 200, 300, 400, 3500, 3600, 3700, 3800)
+		}},
+		{"sound prompts are not refused", func(s *scenario) {
+			s.call("read", 0, 50, func(o *standin.Outcome) { o.Status, o.Refusal = 503, "crashing_part" })
+		}},
 		{"a crashing request ends few servers", func(s *scenario) {
 			s.entry.disturbances = []interval{{s.after(0), s.after(9000)}}
 			s.crashingRuns(0, 100, 200, 4000, 4100, 4200, 4300)
