--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -90,6 +90,10 @@
 	listedRevision   uint64 // store revision of the last list of upstreams, or of the events applied since
 	entries          map[string]*record
 	leavingStarts    map[string]time.Time // by startKey: when the start was last recorded as leaving
+	goneStarts       map[string]goneStart // by startKey: starts whose entry was removed
+	eraListRevision  uint64               // store revision of the first list of upstreams in the store's present era
+	eraSince         time.Time            // when the store's present era was first seen; zero: it was never restored
+	peerChecks       int                  // states of peers still to be fetched because the store's copy may be older
 	listed           map[string]bool      // kinds for which a complete list was received
 	observers        []func(State)
 	unreachableSince map[string]time.Time // by kind: time of the first failed call of the current outage
@@ -110,6 +114,13 @@
 	version    uint64
 	missing    time.Time // since when the store no longer has the entry; zero while the store has it
 	generation uint64    // Catalog.generation at the last change
+	heldBack   bool      // the entry is in a copy of the store from before its removal; it counts as leaving
+}
+
+// goneStart is a start of an upstream whose entry was removed in an era of the store.
+type goneStart struct {
+	at  time.Time
+	era uint64
 }
 
 var (
@@ -134,7 +145,7 @@
 		o.OnAdopted = func(uint64) {}
 	}
 	return &Catalog{
-		opts: o, entries: map[string]*record{}, leavingStarts: map[string]time.Time{}, unreachableSince: map[string]time.Time{},
+		opts: o, entries: map[string]*record{}, leavingStarts: map[string]time.Time{}, goneStarts: map[string]goneStart{}, unreachableSince: map[string]time.Time{},
 		reachableSince: map[string]time.Time{}, listed: map[string]bool{}, changed: make(chan struct{}),
 		boot: rand.Uint64(),
 	}
@@ -203,6 +214,25 @@
 	}
 }
 
+// peerChecksPerEra is how many states of peers a VM fetches after each restoration of the store, and after its start if there was
+// one before. Two, since one peer may have started or been cut off as well.
+const peerChecksPerEra = 2
+
+// noteRevision records a store revision in force. In a later era of the store, entries may be missing that the store has lost,
+// and others may be back that were removed. The lock must be held.
+func (c *Catalog) noteRevision(now time.Time, revision uint64) {
+	if era := store.EraOf(revision); era > store.EraOf(c.revision) {
+		c.eraSince, c.peerChecks = now, peerChecksPerEra
+		if c.revision > 0 {
+			c.opts.Log.Warn("store restored; entries that it lost are kept for a while", zap.Uint64("era", era), zap.Uint64("revision", c.revision))
+			for _, kind := range []string{c.opts.Kinds.Configuration, c.opts.Kinds.Upstreams} {
+				c.reachableSince[kind] = now
+			}
+		}
+	}
+	c.revision = max(c.revision, revision)
+}
+
 // wakeFollowers wakes the Export calls of followers that wait for a change. The lock must be held.
 func (c *Catalog) wakeFollowers() {
 	close(c.changed)
@@ -245,25 +275,44 @@
 		c.opts.Log.Warn("upstream entry unreadable", zap.String("upstream", name), zap.String("from", from), zap.Error(err))
 		return old != nil && c.drop(now, name, "unreadable entry")
 	}
+	heldBack := c.isHeldBack(&e, version)
 	if _, leaving := c.leavingStarts[startKey(e)]; leaving {
 		e.Leaving = true // a start that was leaving stays so
 	}
+	if e.Leaving {
+		c.leavingStarts[startKey(e)] = now
+	}
+	e.Leaving = e.Leaving || heldBack
 	if old != nil {
 		old.missing = time.Time{}
-		old.version, old.value = version, slices.Clone(value)
+		old.version, old.value, old.heldBack = version, slices.Clone(value), heldBack
 		if sameEntry(old.entry, e) {
 			return false
 		}
 	}
-	c.entries[name] = &record{entry: e, version: version, value: slices.Clone(value), generation: c.generation}
-	if e.Leaving {
-		c.leavingStarts[startKey(e)] = now
-	}
+	c.entries[name] = &record{entry: e, version: version, value: slices.Clone(value), generation: c.generation, heldBack: heldBack}
 	c.opts.Log.Info("upstream", zap.String("upstream", name), zap.String("service", e.Service), zap.String("address", e.Address),
 		zap.String("role", string(e.Role)), zap.Bool("leaving", e.Leaving), zap.Uint64("revision", version), zap.String("from", from))
 	return true
 }
 
+// isHeldBack reports whether an entry was removed in an earlier era of the store than that in which it is back. It may be in the
+// store's copy only; it is used again if the upstream registers anew or keeps the entry for heldBackTime.
+func (c *Catalog) isHeldBack(e *Entry, version uint64) bool {
+	gone, ok := c.goneStarts[startKey(*e)]
+	if !ok {
+		return false
+	}
+	if store.EraOf(version) > gone.era && version <= c.eraListRevision {
+		return true
+	}
+	delete(c.goneStarts, startKey(*e))
+	return false
+}
+
+// heldBackTime is longer than the store keeps the entry of an upstream that does not renew it, three heartbeats.
+const heldBackTime = 10 * time.Second
+
 // startKey identifies one process start of an upstream.
 func startKey(e Entry) string {
 	return e.ID + "@" + time.UnixMilli(e.StartTimeMS).UTC().Format(time.RFC3339Nano)
@@ -281,7 +330,8 @@
 		return false
 	}
 	delete(c.entries, name)
-	if r.entry.Leaving {
+	c.goneStarts[startKey(r.entry)] = goneStart{now, store.EraOf(c.revision)}
+	if r.entry.Leaving && !r.heldBack {
 		c.leavingStarts[startKey(r.entry)] = now
 	}
 	c.opts.Log.Info("upstream gone", zap.String("upstream", name), zap.String("service", r.entry.Service), zap.String("why", why))
@@ -330,11 +380,20 @@
 			changed = c.drop(now, name, "not registered again after an outage") || changed
 		}
 	}
-	for _, r := range c.entries {
-		if r.entry.Leaving {
+	for name, r := range c.entries {
+		switch {
+		case r.heldBack && now.Sub(c.eraSince) > heldBackTime:
+			delete(c.goneStarts, startKey(r.entry))
+			changed = c.adoptEntry(now, name, r.version, r.value, "kept in the restored store") || changed
+		case r.entry.Leaving && !r.heldBack:
 			c.leavingStarts[startKey(r.entry)] = now // keeps the key while the start is registered
 		}
 	}
+	for s, gone := range c.goneStarts {
+		if now.Sub(gone.at) > leavingRetention {
+			delete(c.goneStarts, s)
+		}
+	}
 	for s, at := range c.leavingStarts {
 		if now.Sub(at) > leavingRetention {
 			delete(c.leavingStarts, s)
@@ -352,7 +411,7 @@
 	c.update(func(now time.Time) bool {
 		c.leavingStarts[startKey(Entry{ID: id, StartTimeMS: startTimeMS})] = now
 		r, ok := c.entries[id]
-		if !ok || r.entry.Leaving || r.entry.StartTimeMS != startTimeMS {
+		if !ok || r.entry.Leaving && !r.heldBack || r.entry.StartTimeMS != startTimeMS {
 			return false
 		}
 		c.markLeaving(now, r)
@@ -363,7 +422,7 @@
 }
 
 func (c *Catalog) markLeaving(now time.Time, r *record) {
-	r.entry.Leaving, r.generation = true, c.generation
+	r.entry.Leaving, r.heldBack, r.generation = true, false, c.generation
 	c.leavingStarts[startKey(r.entry)] = now
 }
 
--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -9,6 +9,8 @@
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/store"
 )
 
 // In a large fleet a few entry VMs, the watchers, watch the store and the others, their followers, fetch the state from them,
@@ -46,6 +48,8 @@
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"` // omitted when unchanged
 	Leaving bool            `json:"leaving,omitempty"`
+	// HeldBack is set for an entry that the sender uses only if its upstream keeps it. Leaving is set too, for older processes.
+	HeldBack bool `json:"held_back,omitempty"`
 }
 
 var (
@@ -80,7 +84,7 @@
 func (c *Catalog) exportEntries(after uint64) []entryMessage {
 	var out []entryMessage
 	for name, r := range c.entries {
-		e := entryMessage{Name: name, Version: r.version, Leaving: r.entry.Leaving}
+		e := entryMessage{Name: name, Version: r.version, Leaving: r.entry.Leaving, HeldBack: r.heldBack}
 		if r.generation > after {
 			e.Value = r.value
 		}
@@ -125,6 +129,7 @@
 func (c *Catalog) adoptState(x *stateMessage, from string) {
 	c.update(func(now time.Time) bool {
 		changed := false
+		own := c.revision
 		if len(x.Configuration) > 0 {
 			changed = c.adoptConfiguration(x.Configuration, from)
 		}
@@ -133,12 +138,13 @@
 			listed[e.Name] = true
 			changed = c.importEntry(now, e, from, x.Revision) || changed
 		}
+		c.noteRevision(now, x.Revision)
 		for name := range c.entries {
-			if !listed[name] && !x.Unchanged && x.Revision > c.revision {
+			if !listed[name] && !x.Unchanged && x.Revision > own {
 				changed = c.drop(now, name, "missing at a peer with a newer revision") || changed
 			}
 		}
-		c.revision = max(c.revision, x.Revision)
+		c.peerChecks = max(c.peerChecks-1, 0)
 		for _, k := range []string{c.opts.Kinds.Configuration, c.opts.Kinds.Upstreams} {
 			c.listed[k] = true
 		}
@@ -153,7 +159,12 @@
 		changed = c.adoptEntry(now, e.Name, e.Version, e.Value, from)
 	}
 	if r := c.entries[e.Name]; r != nil && e.Leaving && !r.entry.Leaving {
-		c.markLeaving(now, r)
+		if e.HeldBack {
+			c.goneStarts[startKey(r.entry)] = goneStart{now, store.EraOf(revision) - 1}
+			r.entry.Leaving, r.heldBack, r.generation = true, true, c.generation
+		} else {
+			c.markLeaving(now, r)
+		}
 		changed = true
 	}
 	return changed
@@ -172,11 +183,12 @@
 	return c.watchersAssigned
 }
 
-// isCutOff reports whether the store does not answer this VM, or has not provided a configuration yet.
-func (c *Catalog) isCutOff() bool {
+// needsPeers reports whether the store does not answer this VM, has not provided a configuration yet, or may hold an older state
+// than the peers.
+func (c *Catalog) needsPeers() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.unreachableSince) > 0 || c.table == nil
+	return len(c.unreachableSince) > 0 || c.table == nil || c.peerChecks > 0
 }
 
 // peerPosition is the last state of a peer that this VM has applied.
@@ -255,7 +267,7 @@
 		}
 		c.setFollowing(false, false, "", nil)
 		address := ""
-		if c.isCutOff() {
+		if c.needsPeers() {
 			address = c.opts.Peers.Peer()
 		}
 		pause := peerCheckInterval
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -145,13 +145,13 @@
 	}
 	c.update(func(now time.Time) bool {
 		changed := false
+		c.noteRevision(now, next)
 		if kind == c.opts.Kinds.Upstreams {
 			c.listedRevision = max(c.listedRevision, next)
 		}
 		for _, e := range events {
 			changed = apply(now, e) || changed
 		}
-		c.revision = max(c.revision, next)
 		return changed
 	})
 	_ = c.opts.Clock.Sleep(ctx, settleDelay) // watchKind checks whether ctx has ended
@@ -179,11 +179,11 @@
 	}
 	c.update(func(now time.Time) bool {
 		changed := false
+		c.noteRevision(now, revision)
 		c.listed[c.opts.Kinds.Configuration] = true
 		for _, o := range objects {
 			changed = c.configurationEvent(now, store.Event{Object: o}) || changed
 		}
-		c.revision = max(c.revision, revision)
 		return changed
 	})
 	return revision, nil
@@ -201,6 +201,10 @@
 		if revision < c.listedRevision {
 			return false // a newer list or watch was applied first
 		}
+		c.noteRevision(now, revision)
+		if store.EraOf(revision) > store.EraOf(c.listedRevision) {
+			c.eraListRevision = revision
+		}
 		c.listedRevision, c.listed[c.opts.Kinds.Upstreams] = revision, true
 		for _, o := range objects {
 			listed[o.Name] = true
@@ -211,7 +215,6 @@
 				changed = c.handleDeletion(now, name) || changed
 			}
 		}
-		c.revision = max(c.revision, revision)
 		return changed
 	})
 	return revision, nil
