lease: keep one holder and rising fencing numbers over restorations of the store

Cause: the holder and the fencing number were read from the store alone. After a restoration it may name an earlier holder, or none, and a fencing number that was in use; a lease object that was lost was never taken again.

Change: fencing numbers of an era begin above those of earlier eras. For a term and a margin after a VM learns of a new era no lease is taken over; the holder writes its own again at once, as nobody else can hold it until the end of its term.

--- a/edge/roles.go
+++ b/edge/roles.go
@@ -28,7 +28,7 @@
 	clock := store.BootClock{}
 	leases := lease.New(lease.Options{
 		Store: e.objects, Members: e.list, Name: e.settings.VM, Incarnation: e.boot, Groups: 1, Term: max(leaseTerm, 3*e.settings.Bounds.Lease),
-		Candidates: leaseCandidates, Clock: clock, Logger: e.log,
+		Candidates: leaseCandidates, Era: e.objects.Era, Clock: clock, Logger: e.log,
 	})
 	orders := platform.OrderClient{Pool: e.pool, OnAnswer: e.front.ApplyAvailability}
 	control := roles.New(roles.Options{
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -54,7 +54,9 @@
 	// HandBackAfter is how long the preferred holder must have been alive before a group is handed back to it.
 	HandBackAfter time.Duration
 	// Busy reports whether an order of the group is in progress; such a group is not handed back. nil: never busy.
-	Busy   func(group int) bool
+	Busy func(group int) bool
+	// Era returns the store's era and when, by Clock, this VM learned of it; nil: the store is never set back to a copy.
+	Era    func() (era uint64, since time.Time)
 	Clock  store.Clock
 	Logger *zap.Logger
 	Seed   uint64 // of the jitter; 0: random
@@ -85,6 +87,7 @@
 // groupState is this VM's state of one group's lease.
 type groupState struct {
 	next time.Time // next store call
+	era  uint64    // of the store when version was read
 	// The lease as last read from or written to the store.
 	version   uint64
 	lease     topo.Lease
@@ -118,6 +121,9 @@
 	if opt.Busy == nil {
 		opt.Busy = func(int) bool { return false }
 	}
+	if opt.Era == nil {
+		opt.Era = func() (uint64, time.Time) { return 0, time.Time{} }
+	}
 	if opt.Clock == nil {
 		opt.Clock = store.SystemClock{}
 	}
@@ -317,6 +323,8 @@
 	case err == nil:
 		renewals.Inc()
 		m.recordWrite(g, version, l, sent)
+	case errors.Is(err, store.ErrConflict) && m.retake(ctx, g):
+		return nil
 	case errors.Is(err, store.ErrConflict):
 		leasesLost.Inc()
 		m.opt.Logger.Warn("lease lost", zap.Int("group", g), zap.Uint64("fencing", l.Fencing))
@@ -329,6 +337,31 @@
 	return err
 }
 
+// retake writes a held lease again that the store has lost because it was set back to a copy, with a fencing number of its new
+// era, and reports whether it has. Until the end of the term no other VM takes the lease: see restoredLeaseEnd.
+func (m *Manager) retake(ctx context.Context, g int) bool {
+	s := m.groups[g]
+	if era, _ := m.opt.Era(); store.EraOf(s.version) == era {
+		return false
+	}
+	o, l, err := m.read(ctx, g)
+	sent := m.opt.Clock.Now()
+	if err != nil || !sent.Before(s.until) {
+		return false
+	}
+	next := topo.Lease{
+		Group: g, Holder: m.opt.Name, Incarnation: m.opt.Incarnation, TermMS: m.opt.Term.Milliseconds(),
+		Fencing: max(l.Fencing, s.lease.Fencing, m.minFencing()) + 1,
+	}
+	version, err := m.write(ctx, o.Version, next)
+	if err != nil {
+		return false
+	}
+	m.opt.Logger.Warn("lease written again to the restored store", zap.Int("group", g), zap.Uint64("fencing", next.Fencing))
+	m.recordWrite(g, version, next, sent)
+	return true
+}
+
 // observe reads a lease that this VM does not hold, and takes it once the take-over delay has passed.
 func (m *Manager) observe(ctx context.Context, g int) error {
 	asked := m.opt.Clock.Now()
@@ -339,6 +372,11 @@
 		return err
 	}
 	now := m.opt.Clock.Now()
+	if era, _ := m.opt.Era(); era != s.era {
+		m.mu.Lock()
+		s.era, s.version, s.firstSeen = era, 0, time.Time{} // the store may have lost what was read before
+		m.mu.Unlock()
+	}
 	switch {
 	case o.Version < s.version: // a stale read
 		return nil
@@ -351,6 +389,9 @@
 		m.mu.Unlock()
 	}
 	ready := s.firstSeen.Add(m.takeoverDelay(g, l, o.Version))
+	if restored := m.restoredLeaseEnd(g); restored.After(ready) {
+		ready = restored
+	}
 	if asked.Before(ready) {
 		s.next = earlier(s.next, ready)
 		return nil
@@ -395,15 +436,36 @@
 	}
 }
 
+// restoredLeaseEnd returns the time by which a lease that the store has lost has lapsed, or the zero time if the store was never
+// restored.
+func (m *Manager) restoredLeaseEnd(g int) time.Time {
+	era, since := m.opt.Era()
+	if era == 0 {
+		return time.Time{}
+	}
+	return since.Add(m.opt.Term + m.opt.Margin + time.Duration(m.ranks[g].place)*m.opt.Term/rankDelayDivisor)
+}
+
+// fencingPerEra is above the number of holders that a group can have in one era of the store.
+const fencingPerEra = 1 << 20
+
+// minFencing returns a bound below the fencing numbers of the store's present era. It is above those of earlier eras, of which
+// the store may have lost the last ones.
+func (m *Manager) minFencing() uint64 {
+	era, _ := m.opt.Era()
+	return era * fencingPerEra
+}
+
 // takeOver writes the lease with this VM as its holder. The write fails if the lease has changed since version was observed.
 func (m *Manager) takeOver(ctx context.Context, g int, version uint64, l topo.Lease) error {
 	next := topo.Lease{
 		Group: g, Holder: m.opt.Name, Incarnation: m.opt.Incarnation, Fencing: l.Fencing + 1,
 		TermMS: m.opt.Term.Milliseconds(),
 	}
-	if m.isOwn(l) {
+	if m.isOwn(l) && l.Fencing >= m.minFencing() {
 		next.Fencing, next.Renewals = l.Fencing, l.Renewals+1
 	}
+	next.Fencing = max(next.Fencing, m.minFencing()+1) // the store may have lost later ones
 	sent := m.opt.Clock.Now()
 	written, err := m.write(ctx, version, next)
 	if err != nil {
