Write registrations and refusals again to a restored store

Cause: an entry VM registered once, and refused fingerprints and parts were stored once. A restoration loses them, so that VMs with stale seeds don't find one another, and a restart of all VMs forgets what crashes servers.

Change: both are written again when the store is in a new era, after a random delay of up to 2 s; refusals only if another VM has not.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -76,7 +76,7 @@
 	}
 	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), stop: make(chan struct{}), upstreamAddresses: map[string]string{}}
 	limitRuntime(o.Settings.ResourceLimits)
-	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address})
+	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
 	e.pool = conns.New(conns.Options{})
 	if err := e.buildPeers(); err != nil {
 		return nil, err
@@ -189,7 +189,10 @@
 func (e *Edge) buildCatalog() {
 	e.catalog = catalog.New(catalog.Options{
 		Store: e.objects, Decoder: platform.Decoder{}, Kinds: platform.Kinds, Peers: catalogPeers{e}, Log: e.log, Watchers: e.watchers,
-		OnAdopted: e.list.SetRevision,
+		OnAdopted: func(revision uint64) {
+			e.list.SetRevision(revision)
+			e.objects.NoteEra(store.EraOf(revision)) // a VM that follows a watcher may make no call to the store
+		},
 	})
 	e.addActor("catalog", e.catalog.Run)
 }
@@ -259,7 +262,7 @@
 		},
 	})
 	e.addActor("gateway", e.gateway.Run)
-	archive = quarantine.NewArchive(quarantine.ArchiveOptions{Store: e.objects, Ledger: e.crashes, Log: e.log})
+	archive = quarantine.NewArchive(quarantine.ArchiveOptions{Store: e.objects, AwaitEraChange: e.objects.AwaitEraChange, Ledger: e.crashes, Log: e.log})
 	e.addActor("crashes", e.rebroadcastRefused)
 	e.addActor("archive of refusals", archive.Run)
 	e.addActor("upstreams", e.followUpstreams)
@@ -416,15 +419,21 @@
 	return u, true
 }
 
-// register records this entry VM in the store, so that entry VMs with stale seeds find it.
+// register records this entry VM in the store, so that entry VMs with stale seeds find it, and again whenever the store was
+// set back to a copy.
 func (e *Edge) register(ctx context.Context) error {
 	vm := store.VM{Name: e.settings.VM, Address: e.settings.IP, DataCentre: e.settings.DataCentre, State: store.VMLive}
 	for failures := 0; ; failures++ {
+		era, _ := e.objects.Era()
 		err := e.objects.Register(ctx, vm)
 		if err == nil {
-			e.log.Info("registered", zap.String("vm", vm.Name), zap.String("address", vm.Address))
-			<-ctx.Done()
-			return nil
+			e.log.Info("registered", zap.String("vm", vm.Name), zap.String("address", vm.Address), zap.Uint64("era", era))
+			if _, err = e.objects.AwaitEraChange(ctx, era); err != nil {
+				return nil // ctx has ended
+			}
+			failures = -1
+			_ = (store.SystemClock{}).Sleep(ctx, rand.N(maxRegistrationDelay)) // the loop ends when ctx does
+			continue
 		}
 		e.log.Warn("not registered", zap.String("vm", vm.Name), zap.Int("failures", failures+1), zap.Error(err))
 		if (store.SystemClock{}).Sleep(ctx, store.Backoff(failures+1)) != nil {
@@ -433,6 +442,9 @@
 	}
 }
 
+// maxRegistrationDelay spreads the registrations of all entry VMs after a restoration of the store.
+const maxRegistrationDelay = 2 * time.Second
+
 func (e *Edge) addActor(name string, f func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.group.Add(func() error { return trace.Wrap(f(ctx), "%s", name) }, func(error) { cancel() })
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -26,6 +27,9 @@
 type ArchiveOptions struct {
 	Store  store.Store
 	Ledger *Ledger
+	// AwaitEraChange waits until the store has been set back to a copy, so that it is in a later era than after, and returns the
+	// era; nil: that does not happen.
+	AwaitEraChange func(ctx context.Context, after uint64) (uint64, error)
 	// Expiry is how long the refusal of a fingerprint is kept; default 10 min, as in a Ledger.
 	Expiry time.Duration
 	Clock  store.Clock
@@ -87,9 +91,13 @@
 
 // EnqueuePart is like Enqueue, for a refused part.
 func (a *Archive) EnqueuePart(s RefusedPart) {
-	a.enqueue(archiveChange{partArchiveKind, objectName(uint64(s.Part)), storedRefusal{
+	a.enqueue(partChange(s))
+}
+
+func partChange(s RefusedPart) archiveChange {
+	return archiveChange{partArchiveKind, objectName(uint64(s.Part)), storedRefusal{
 		Crashes: s.Crashes, Mates: s.Mates, Trials: s.Trials, NextTrialMS: s.NextTrial.UnixMilli(),
-	}})
+	}}
 }
 
 // RemovePart queues the removal of a part that is no longer refused.
@@ -114,10 +122,16 @@
 	}
 	t := time.NewTicker(archiveSweepInterval)
 	defer t.Stop()
+	restored := make(chan struct{}, 1)
+	if a.opts.AwaitEraChange != nil {
+		go a.awaitRestorations(ctx, restored)
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-restored:
+			a.writeLost(ctx)
 		case c := <-a.pending:
 			if len(c.refusal.Crashes) == 0 {
 				a.removeCurrent(ctx, c)
@@ -184,6 +198,70 @@
 	return nil
 }
 
+// awaitRestorations signals each restoration of the store after a random delay, so that one entry VM writes what the others then
+// find there.
+func (a *Archive) awaitRestorations(ctx context.Context, restored chan<- struct{}) {
+	const maxDelay = 2 * time.Second
+	for era := uint64(0); ; {
+		var err error
+		if era, err = a.opts.AwaitEraChange(ctx, era); err != nil || a.opts.Clock.Sleep(ctx, rand.N(maxDelay)) != nil {
+			return
+		}
+		select {
+		case restored <- struct{}{}:
+		default: // one signal is pending
+		}
+	}
+}
+
+// writeLost writes the refusals in force that the store does not have, after it was set back to a copy.
+func (a *Archive) writeLost(ctx context.Context) {
+	var changes []archiveChange
+	for fp, crashes := range a.opts.Ledger.Refused() {
+		changes = append(changes, archiveChange{archiveKind, objectName(uint64(fp)), storedRefusal{Crashes: crashes}})
+	}
+	for _, s := range a.opts.Ledger.Parts().Refused() {
+		changes = append(changes, partChange(s))
+	}
+	if len(changes) == 0 {
+		return
+	}
+	stored := map[string]bool{}
+	for _, kind := range []string{archiveKind, partArchiveKind} {
+		list, err := a.listSoon(ctx, kind)
+		if err != nil {
+			a.opts.Log.Warn("lost refusals not written again", zap.Error(err)) // other entry VMs try as well
+			return
+		}
+		for _, o := range list {
+			stored[kind+"/"+o.Name] = true
+		}
+	}
+	for _, c := range changes {
+		if !stored[c.kind+"/"+c.name] {
+			a.write(ctx, c)
+		}
+	}
+}
+
+// listSoon lists a kind, with some retries.
+func (a *Archive) listSoon(ctx context.Context, kind string) ([]store.Object, error) {
+	var err error
+	for try := range archiveWriteAttempts {
+		var list []store.Object
+		if list, _, err = a.opts.Store.List(ctx, kind, ""); err == nil {
+			return list, nil
+		}
+		if errors.Is(err, store.ErrNotFound) {
+			return nil, nil
+		}
+		if a.opts.Clock.Sleep(ctx, store.Backoff(try+1)) != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
 // write writes a refusal. It replaces the stored refusal of a part, whose trials change.
 func (a *Archive) write(ctx context.Context, c archiveChange) {
 	now := a.opts.Clock.Now()
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -250,6 +250,17 @@
 	return n + 1
 }
 
+// Refused returns the refused fingerprints with their crashes.
+func (l *Ledger) Refused() map[Fingerprint][]uint32 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[Fingerprint][]uint32{}
+	for _, fp := range l.refusedFingerprints() {
+		out[fp] = slices.Sorted(maps.Keys(l.entries[fp].crashes))
+	}
+	return out
+}
+
 // evictOne evicts the fingerprint with the fewest crashes of a small sample if the table is full, which takes thousands
 // of crashes within Expiry. The lock is held.
 func (l *Ledger) evictOne() {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -567,6 +567,19 @@
 	return RefusedPart{part, p.mates(part), crashes, r.trials, r.nextTrial}
 }
 
+// Refused returns the state of the refused parts.
+func (p *PartLedger) Refused() []RefusedPart {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []RefusedPart
+	for part, r := range p.parts {
+		if r.refused {
+			out = append(out, p.refusedState(part))
+		}
+	}
+	return out
+}
+
 // partUpdate collects what is done after the lock has been released.
 type partUpdate struct {
 	now     time.Time
