soak: a store that comes back from a copy

Kind store-restore: the copy is from before a change of the configuration and 20 heartbeats of each server; the operator and the servers write again half a second later, and a server leaves some seconds after that.

With it: no finding.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -66,11 +66,12 @@
 		e.disturb(f.duration + settleTime)
 		f.cutLink(e.callers)
 	},
-	"store-down":   func(fl *fleet, f fault) { fl.storeFault(f, standin.StoreDown) },
-	"store-busy":   func(fl *fleet, f fault) { fl.storeFault(f, standin.StoreBusy) },
-	"store-slow":   func(fl *fleet, f fault) { fl.storeFault(f, standin.StoreSlow) },
-	"store-forget": func(fl *fleet, _ fault) { fl.store.Forget() },
-	"store-lost":   func(fl *fleet, f fault) { fl.store.LoseAnswers(1 + f.target%4) },
+	"store-down":    func(fl *fleet, f fault) { fl.storeFault(f, standin.StoreDown) },
+	"store-busy":    func(fl *fleet, f fault) { fl.storeFault(f, standin.StoreBusy) },
+	"store-slow":    func(fl *fleet, f fault) { fl.storeFault(f, standin.StoreSlow) },
+	"store-forget":  func(fl *fleet, _ fault) { fl.store.Forget() },
+	"store-lost":    func(fl *fleet, f fault) { fl.store.LoseAnswers(1 + f.target%4) },
+	"store-restore": func(fl *fleet, f fault) { fl.restoreStore(f) },
 	"store-cut": func(fl *fleet, f fault) { // between the store and one entry VM
 		e := fl.targetEntry(f)
 		e.disturb(f.duration + settleTime)
@@ -98,17 +99,7 @@
 		fl.serverFault(f, variants[f.target/len(fl.nodes)%len(variants)])
 	},
 	"store-endless": func(fl *fleet, f fault) { fl.storeFault(f, standin.StoreEndless) },
-	"server-leave": func(fl *fleet, f fault) {
-		n := fl.targetNode(f)
-		s := fl.currentServer(n)
-		fl.reportError(fl.store.Put("servers", n.id, s.Entry(n.link.address(), n.zone, "draining", time.Now().UnixMilli())))
-		fl.recordLeaving(n.id)
-		time.Sleep(leavingWithin + f.duration)
-		fl.store.Delete("servers", n.id)
-		time.Sleep(time.Second)
-		s.Crash()
-		fl.reportError(fl.startNode(n))
-	},
+	"server-leave":  func(fl *fleet, f fault) { fl.stopServer(f) },
 	"server-says-leaving": func(fl *fleet, f fault) { // the store's record does not show it
 		n := fl.targetNode(f)
 		s := fl.currentServer(n)
@@ -221,7 +212,7 @@
 		return fl.targetLock("callers", f.target%len(fl.entries))
 	case "store-cut":
 		return fl.targetLock("store", f.target%len(fl.entries))
-	case "store-down", "store-busy", "store-slow", "store-endless":
+	case "store-down", "store-busy", "store-slow", "store-endless", "store-restore":
 		return fl.targetLock("store", -1)
 	case "server-crash", "server-leave", "server-stall", "server-errors", "server-truncate", "server-repeats", "server-endless",
 		"server-says-leaving", "server-quiet", "server-limit":
@@ -257,6 +248,49 @@
 	fl.restarts.Wait()
 }
 
+const (
+	restoreOutage     = 300 * time.Millisecond
+	restoreHeartbeats = 20 // of all servers between the copy and the restoration, each a revision that is given out again
+	rewriteDelay      = 500 * time.Millisecond
+)
+
+// restoreStore sets the store back to a copy from before a change of the configuration and some heartbeats. A server leaves later on.
+func (fl *fleet) restoreStore(f fault) {
+	saved := fl.store.Copy()
+	for range restoreHeartbeats {
+		fl.store.Touch("servers")
+		time.Sleep(f.duration / restoreHeartbeats)
+	}
+	fl.writeConfiguration()
+	for _, e := range fl.entries {
+		e.disturb(restoreOutage + rewriteDelay + settleTime)
+	}
+	fl.store.SetFault(standin.StoreDown)
+	time.Sleep(restoreOutage)
+	rewrite := fl.store.Restore(saved, "servers", "config")
+	fl.store.SetFault(standin.StoreNoFault)
+	time.Sleep(rewriteDelay)
+	rewrite()
+	time.Sleep(settleTime)
+	server := fl.targetLock("server", f.target%len(fl.nodes))
+	server.Lock()
+	defer server.Unlock()
+	fl.stopServer(f)
+}
+
+// stopServer stops a server as planned: it announces in the store that it leaves, and another one takes its place.
+func (fl *fleet) stopServer(f fault) {
+	n := fl.targetNode(f)
+	s := fl.currentServer(n)
+	fl.reportError(fl.store.Put("servers", n.id, s.Entry(n.link.address(), n.zone, "draining", time.Now().UnixMilli())))
+	fl.recordLeaving(n.id)
+	time.Sleep(leavingWithin + f.duration)
+	fl.store.Delete("servers", n.id)
+	time.Sleep(time.Second)
+	s.Crash()
+	fl.reportError(fl.startNode(n))
+}
+
 // Requests with a crashing part are sent for longer than the time within which all entry VMs must know the part.
 const (
 	crashingPartAttempts = 26
