--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -141,7 +141,6 @@
 			return false
 		}
 	}
-	known := ledger.Known(parts)
 	f.mu.Lock()
 	name := u.name + "@" + strconv.Itoa(u.start)
 	u.runs[r] = struct{}{}
@@ -158,7 +157,7 @@
 			return false
 		}
 		l.RunAnswered(r.fp, name)
-		known = ledger.Known(parts)
+		known := ledger.Known(parts)
 		select {
 		case <-r.broken:
 		case <-time.After(length):
