--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -47,7 +47,7 @@
 	MaxEntries int // fingerprints kept; default 16384
 	// Broadcast sends a crash identifier, Cleared, Claimed or Released to the other entry VMs. nil: there are none.
 	Broadcast func(fp Fingerprint, crash uint32)
-	// Parts is told which parts of prompts were in flight at a crash; default a ledger of its own.
+	// Parts receives the parts of prompts that were in flight at a crash; default a ledger of its own.
 	Parts *PartLedger
 	// OnRefused is called when a crash detected at this entry VM makes a fingerprint refused, with its crashes. It must
 	// not block. Optional.
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -37,11 +37,11 @@
 type partUpstream struct {
 	name  string
 	start int
-	runs  map[*partRunOf]struct{}
+	runs  map[*modelRun]struct{}
 }
 
-// partRunOf is a run of a request in flight.
-type partRunOf struct {
+// modelRun is a run of a request in flight.
+type modelRun struct {
 	ledger *Ledger
 	fp     Fingerprint
 	broken chan struct{}
@@ -50,7 +50,7 @@
 func newPartFleet(vms, upstreams int, delay time.Duration) *partFleet {
 	f := &partFleet{cut: map[int]bool{}, deadly: map[PartID]bool{}, random: rand.New(rand.NewPCG(1, uint64(vms)))}
 	for i := range upstreams {
-		f.upstreams = append(f.upstreams, &partUpstream{name: "u" + strconv.Itoa(i), runs: map[*partRunOf]struct{}{}})
+		f.upstreams = append(f.upstreams, &partUpstream{name: "u" + strconv.Itoa(i), runs: map[*modelRun]struct{}{}})
 	}
 	for i := range vms {
 		f.vms = append(f.vms, f.newLedger(i, delay, nil))
@@ -100,7 +100,7 @@
 	name := u.name + "@" + strconv.Itoa(u.start)
 	u.start++
 	runs := u.runs
-	u.runs = map[*partRunOf]struct{}{}
+	u.runs = map[*modelRun]struct{}{}
 	f.mu.Unlock()
 	for r := range runs {
 		r.ledger.RunBroken(r.fp, name)
@@ -117,7 +117,7 @@
 	l, isDeadly := f.vms[vm], slices.ContainsFunc(parts, func(p PartID) bool { return f.deadly[p] })
 	u := f.upstreams[f.intN(len(f.upstreams))]
 	f.next++
-	r := &partRunOf{l, f.next, make(chan struct{})}
+	r := &modelRun{l, f.next, make(chan struct{})}
 	f.mu.Unlock()
 	ledger := l.Parts()
 	refuse := func() bool {
@@ -330,7 +330,7 @@
 		time.Sleep(100 * time.Millisecond)
 		is.True(f.vms[2].Parts().Check([]PartID{firstParts, deadlyPart}) != nil)
 		is.True(f.vms[2].Parts().Check([]PartID{firstParts}) == nil)
-		time.Sleep(10 * time.Second) // the trial of the others is not repeated by the VM that heard late
+		time.Sleep(10 * time.Second) // the trial of the others is not repeated by the VM that was cut off
 		wait, err := f.vms[0].Parts().BeginTrial([]PartID{firstParts, deadlyPart})
 		is.True(err != nil || wait == 0)
 		time.Sleep(6 * time.Second)
@@ -343,8 +343,8 @@
 	})
 }
 
-// Guards against evidence that is too thin at each entry VM: crashes that a VM heard of before it was cut off count together
-// with those that it saw itself.
+// Guards against evidence that is too thin at each entry VM: crashes that its peers report count together with those
+// that it saw itself.
 func TestCrashesSeenOnBothSidesOfACutCountTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
