--- a/soak/judge_upstreams.go
+++ b/soak/judge_upstreams.go
@@ -46,7 +46,7 @@
 			switch {
 			case r.Started.IsZero():
 			case a == nil:
-				add("only what was asked runs", "%s at %s was sent by no client", id, r.Server)
+				add("only what was asked runs", "%q (%s, body %.60q) at %s was sent by no client", id, r.Path, r.Body, r.Server)
 			case r.Path != a.Path || r.Body != a.Text():
 				add("only what was asked runs", "%s at %s: path %s and body %.60q in place of %s and %.60q", id, r.Server, r.Path, r.Body, a.Path, a.Text())
 			case !slices.Contains(allowedServices[strings.Split(r.Path, "/")[1]], r.Service):
