--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -3,12 +3,10 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bergamotcroft.example/bergamot/result"
@@ -120,7 +118,7 @@
 type partWatch struct {
 	parts     []PartID
 	onRefused func(*result.Error)
-	told      bool
+	notified  bool
 }
 
 // suspectCrashes returns the number of crashes that the part is blamed for and may have caused.
@@ -169,12 +167,7 @@
 func (p *PartLedger) nextCrash(upstream string) uint32 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for n := 0; ; n++ {
-		id := max(uint32(xxhash.Sum64String(upstream+"#"+strconv.Itoa(n))), 1)
-		if p.crashes[id] == nil {
-			return id
-		}
-	}
+	return crashID(upstream, func(id uint32) bool { return p.crashes[id] != nil })
 }
 
 // runCrashed records a run that a crash broke off. answered is how long before that its first event came; 0: none came.
@@ -444,8 +437,8 @@
 
 func (p *PartLedger) endWatches(u *partUpdate, part PartID) {
 	for w := range p.watches[part] {
-		if _, err := p.checkLocked(w.parts); err != nil && !w.told {
-			w.told = true
+		if _, err := p.checkLocked(w.parts); err != nil && !w.notified {
+			w.notified = true
 			u.after = append(u.after, func() { w.onRefused(err) })
 		}
 	}
--- a/quarantine/runs.go
+++ b/quarantine/runs.go
@@ -89,9 +89,14 @@
 	if l.count(fp) > 0 {
 		known = l.entries[fp].crashes
 	}
+	return crashID(upstream, func(id uint32) bool { _, ok := known[id]; return ok })
+}
+
+// crashID returns the identifier of the first crash of an upstream that is not known.
+func crashID(upstream string, known func(uint32) bool) uint32 {
 	for n := 0; ; n++ {
 		id := max(uint32(xxhash.Sum64String(upstream+"#"+strconv.Itoa(n))), firstCrash)
-		if _, ok := known[id]; !ok {
+		if !known(id) {
 			return id
 		}
 	}
