Review case 1, new: removed servers get bookings after connections to the store went silent

It takes the place of the case with cut watches, which has the same cause and rests on how often the store cuts them. Open connections to the store go silent once, an entry is removed, and bookings that come 3.3 s later (drain_ms is 2 s), when the machines are in touch again, reach the removed server and are lost when it exits.

Code: catalog.handleDeletion, recovering, expire.

--- a/review/harness/rig.go
+++ b/review/harness/rig.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -43,13 +42,15 @@
 
 // rig holds the processes, servers and the store of one case.
 type rig struct {
-	root   string // of the repository
-	temp   string // for settings and logs
-	start  time.Time
-	store  *storeStandIn
-	vms    []*vm
-	base   int
-	closed sync.Once
+	root  string // of the repository
+	temp  string // for settings and logs
+	start time.Time
+	store *storeStandIn
+	// storeAddress is the address of the store in the settings; empty: its own.
+	storeAddress string
+	vms          []*vm
+	base         int
+	closed       sync.Once
 
 	mu      sync.Mutex
 	record  *os.File
@@ -125,7 +126,10 @@
 	for _, s := range r.vms[:min(3, len(r.vms))] {
 		seeds = append(seeds, s.address(portPeers))
 	}
-	zone := fmt.Sprintf("zone-%d", i)
+	zone, storeAddress := fmt.Sprintf("zone-%d", i), r.storeAddress
+	if storeAddress == "" {
+		storeAddress = r.store.address()
+	}
 	b, err := json.Marshal(map[string]any{
 		"node": v.name, "role": "entry", "machine_class": "front", "serves": []string{"front", "control", "directory"},
 		"ip": v.ip, "zone": zone, "region": "east", "seeds": seeds, "bootstrap": true,
@@ -138,7 +142,7 @@
 			"grace_s": 8, "loss_slack_ms": 200, "config_ms": 2000, "downgrade_ms": 250, "skew_max_ms": 5000, "budget_ratio": 0.2,
 			"budget_window_s": 10, "budget_slack": 58, "recovery_s": 12, "require_fence": false, "lease_ms": 3000, "thaw_ms": 300,
 			"ttl_max_s": 5},
-		"platform": map[string]any{"address": r.store.address(), "form": "objects", "writes_per_s": 400, "reads_per_s": 2000,
+		"platform": map[string]any{"address": storeAddress, "form": "objects", "writes_per_s": 400, "reads_per_s": 2000,
 			"history_s": 20, "value_bytes": 1 << 20, "ttl_min_ms": 1000},
 	})
 	if err != nil {
@@ -300,10 +304,6 @@
 	objects  *standin.Store
 	listener net.Listener
 	server   *http.Server
-
-	mu       sync.Mutex
-	cutAfter time.Duration
-	cuts     int
 }
 
 func newStoreStandIn() (*storeStandIn, error) {
@@ -312,7 +312,7 @@
 	if s.listener, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
 		return nil, err
 	}
-	s.server = &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
+	s.server = &http.Server{Handler: s.objects, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.server.Serve(s.listener) }() // until close
 	return s, nil
 }
@@ -321,50 +321,19 @@
 
 func (s *storeStandIn) close() { _ = s.server.Close() }
 
-// cutWatches cuts off each watch that has waited for d from now on; 0: none.
-func (s *storeStandIn) cutWatches(d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cutAfter = d
-}
-
-func (s *storeStandIn) cutCount() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.cuts
-}
-
-// ServeHTTP implements http.Handler.
-func (s *storeStandIn) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	cutAfter := s.cutAfter
-	s.mu.Unlock()
-	ctx := r.Context()
-	if cutAfter > 0 && r.URL.Query().Has("watch") {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, cutAfter)
-		defer cancel()
-	}
-	answer := httptest.NewRecorder()
-	s.objects.ServeHTTP(answer, r.WithContext(ctx))
-	if ctx.Err() != nil { // the watch waited for too long
-		s.mu.Lock()
-		s.cuts++
-		s.mu.Unlock()
-		panic(http.ErrAbortHandler)
-	}
-	for name, values := range answer.Header() {
-		if name != "Store-Era" { // not on the pages that this review works from
-			w.Header()[name] = values
-		}
-	}
-	w.WriteHeader(answer.Code)
-	_, _ = w.Write(answer.Body.Bytes()) // a client that has disconnected asks again
-}
-
 // dialVM connects a client to an entry VM.
 func dialVM(v *vm) (*standin.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	return standin.Dial(ctx, v.address(portCallers))
 }
+
+// sendOne sends one attempt on a connection of its own.
+func sendOne(v *vm, a standin.Attempt) standin.Outcome {
+	c, err := dialVM(v)
+	if err != nil {
+		return standin.Outcome{Attempt: a, Err: err}
+	}
+	defer c.Close()
+	return c.Do(a)
+}
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -27,6 +27,7 @@
 // serverOptions configures a server.
 type serverOptions struct {
 	id, zone string
+	service  string // empty: "app"
 	work     func(path string) time.Duration
 	began    func(serverRun)        // called when a run begins; nil: no call
 	ended    func(serverRun)        // called when a run has ended; nil: no call
@@ -34,7 +35,7 @@
 	crashed  func()                 // called after a request has ended the server
 }
 
-// server is a server of the plain service "app", as the pages describe it.
+// server is a server of a plain service, as the pages describe it.
 type server struct {
 	opts     serverOptions
 	listener net.Listener
@@ -57,8 +58,12 @@
 	r.servers = append(r.servers, s)
 	r.mu.Unlock()
 	r.note("server %s at %s", o.id, l.Addr())
+	service := o.service
+	if service == "" {
+		service = "app"
+	}
 	return s, r.store.objects.Put("servers", o.id, map[string]any{
-		"service": "app", "address": l.Addr().String(), "zone": o.zone, "slots": serverSlots, "state": "ready", "version": "1",
+		"service": service, "address": l.Addr().String(), "zone": o.zone, "slots": serverSlots, "state": "ready", "version": "1",
 		"born": time.Now().UnixMilli(),
 	})
 }
