Close idle connections after a time-out: connections go silent together

Cause: after connections had gone silent, the list that followed a silent watch was sent on an idle connection that was silent too (650 ms each), and so was the next one. The same holds for every pool of connections: writes to the store (leases, refusals), calls between VMs, and requests, orders and reports to upstreams.

The pool of connections to upstreams closes those of the address that have been idle since before the request was sent; a request is still written once.

Ruled out: repeating a slow read on a new connection after 300 ms. While the store is slow it doubles the calls, and a list within 650 ms would not end.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -79,6 +79,7 @@
 		return nil, &Error{Stage: NotSent, Err: err}
 	}
 	c.carry(q.ID)
+	sentAt := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	if n, err := c.Write(encode(q)); err != nil {
 		stop()
@@ -93,6 +94,9 @@
 	if err != nil {
 		stop()
 		c.discard()
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) || isTimeout(err) {
+			p.closeIdleSince(address, sentAt)
+		}
 		return nil, newError(ctx, Sent, err)
 	}
 	r.ctx, r.stop = ctx, stop
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -116,6 +116,7 @@
 	raw     *boundedSource
 	r       *bufio.Reader
 	expires time.Time // when an idle connection is too old to be reused
+	idleAt  time.Time // when the last exchange of an idle connection ended
 	carried []uint64  // hashes of the IDs of the last requests, oldest first
 	// unshared is set for a connection of a request without an ID, as its answers can't be matched to it.
 	unshared bool
@@ -232,7 +233,8 @@
 		c.discard()
 		return
 	}
-	c.expires = time.Now().Add(life)
+	c.idleAt = time.Now()
+	c.expires = c.idleAt.Add(life)
 	p := c.pool
 	p.mu.Lock()
 	keep := !p.closed && len(p.idle[c.address]) < p.opts.MaxIdle
@@ -312,6 +314,15 @@
 	}
 }
 
+// closeIdleSince closes the connections to an address that have been idle since before t, the time at which a request was sent that got
+// no answer in time. Connections go silent together; one that has carried an answer since then is sound.
+func (p *Pool) closeIdleSince(address string, t time.Time) {
+	before := func(c *conn) bool { return c.idleAt.Before(t) }
+	for c := p.popIdle(address, before); c != nil; c = p.popIdle(address, before) {
+		c.discard()
+	}
+}
+
 // Sweep closes expired idle connections and removes old probes. It must be called periodically.
 func (p *Pool) Sweep(now time.Time) {
 	var old []*conn
--- a/peer/client.go
+++ b/peer/client.go
@@ -62,7 +62,7 @@
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.Transport.(*signer).next.(*http.Transport).CloseIdleConnections() }
+func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // clientFor returns the cached client of an address, or a new one.
 func (c *Client) clientFor(address string) peerv1connect.PeerServiceClient {
@@ -83,9 +83,9 @@
 	return p
 }
 
-func call[Req, Res any](ctx context.Context, timeout time.Duration, r *Req,
+func call[Req, Res any](ctx context.Context, c *Client, r *Req,
 	f func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error)) (*Res, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.o.Timeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
 	res, err := f(ctx, connect.NewRequest(r))
@@ -93,6 +93,7 @@
 	case err == nil:
 		return res.Msg, nil
 	case !time.Now().Before(deadline) && !errors.Is(ctx.Err(), context.Canceled):
+		c.http.CloseIdleConnections() // the connection of this call may be silent, and those of other peers with it
 		// The peer's deadline is the same. Of its answer, the status may arrive but not the body with the code. On a busy
 		// machine the context ends some time after its deadline.
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
@@ -103,26 +104,26 @@
 
 // ExchangeTable compares member tables with the VM at address.
 func (c *Client) ExchangeTable(ctx context.Context, address string, r *peerv1.ExchangeTableRequest) (*peerv1.ExchangeTableResponse, error) {
-	return call(ctx, c.o.Timeout, r, c.clientFor(address).ExchangeTable)
+	return call(ctx, c, r, c.clientFor(address).ExchangeTable)
 }
 
 // Claim applies an operation on a caller key at the owner of its shard.
 func (c *Client) Claim(ctx context.Context, address string, r *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
-	return call(ctx, c.o.Timeout, r, c.clientFor(address).Claim)
+	return call(ctx, c, r, c.clientFor(address).Claim)
 }
 
 // IssuedKey applies an operation on an issued key at the VM that issued it.
 func (c *Client) IssuedKey(ctx context.Context, address string, r *peerv1.IssuedKeyRequest) (*peerv1.IssuedKeyResponse, error) {
-	return call(ctx, c.o.Timeout, r, c.clientFor(address).IssuedKey)
+	return call(ctx, c, r, c.clientFor(address).IssuedKey)
 }
 
 // ExchangeShares exchanges the demand of accounts with the VM at address.
 func (c *Client) ExchangeShares(ctx context.Context, address string, r *peerv1.ExchangeSharesRequest) (*peerv1.ExchangeSharesResponse, error) {
-	return call(ctx, c.o.Timeout, r, c.clientFor(address).ExchangeShares)
+	return call(ctx, c, r, c.clientFor(address).ExchangeShares)
 }
 
 // GetConfiguration fetches an encoded configuration; revision 0 asks for the highest.
 func (c *Client) GetConfiguration(ctx context.Context, address string, revision uint64) (uint64, []byte, error) {
-	res, err := call(ctx, c.o.Timeout, &peerv1.GetConfigurationRequest{Revision: revision}, c.clientFor(address).GetConfiguration)
+	res, err := call(ctx, c, &peerv1.GetConfigurationRequest{Revision: revision}, c.clientFor(address).GetConfiguration)
 	return res.GetRevision(), res.GetValue(), err
 }
--- /dev/null
+++ b/peer/silence_test.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotcroft.example/bergamot/internal/silence"
+)
+
+// Guards against a follower that waits for a peer on a connection that has gone silent, and against one that goes on using it.
+func TestATimeoutEndsASilentConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	s, err := New(Options{Listener: l, Secret: "s", Handlers: &Handlers{
+		GetConfiguration: func(context.Context, uint64) (uint64, []byte, error) { return 7, []byte("{}"), nil },
+	}})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	proxy, err := silence.NewProxy(l.Addr().String())
+	is.NoErr(err)
+	defer proxy.Close()
+	c := NewClient(ClientOptions{Secret: "s", Timeout: 5 * time.Second})
+	_, _, err = c.GetConfiguration(t.Context(), proxy.Address(), 0)
+	is.NoErr(err)
+
+	proxy.Silence()
+	short, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer stop()
+	_, _, err = c.GetConfiguration(short, proxy.Address(), 0)
+	is.True(err != nil) // on the silent connection
+	revision, _, err := c.GetConfiguration(t.Context(), proxy.Address(), 0)
+	is.NoErr(err)
+	is.Equal(revision, uint64(7))
+	c.Close()
+	cancel()
+	is.NoErr(<-done)
+}
--- a/store/client.go
+++ b/store/client.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"bergamotcroft.example/bergamot/internal/bounded"
+	"bergamotcroft.example/bergamot/internal/idleconns"
 )
 
 // Headers of the store's HTTP interface.
@@ -177,10 +178,14 @@
 	}
 	resp, err := c.opt.HTTP.Do(req)
 	if err != nil {
+		idleconns.CloseAfterTimeout(ctx, c.opt.HTTP)
 		return callError(k.write && sent.Load(), err)
 	}
 	defer resp.Body.Close()
-	return decodeAnswer(resp, k.write, answer)
+	if err = decodeAnswer(resp, k.write, answer); err != nil {
+		idleconns.CloseAfterTimeout(ctx, c.opt.HTTP)
+	}
+	return err
 }
 
 // callError returns ErrOutcomeUnknown for a write that may have reached the store.
