peer: after a time-out, call a peer on a new connection

The call after a time-out on a silent connection sometimes used the same connection: TestATimeoutEndsASilentConnection failed once beside eight other test packages ("deadline_exceeded" after 5 s).

Cause: all calls to a peer share one HTTP/2 connection, and closing idle connections leaves it open as long as a stream of it is not removed yet or another call waits on it.

Change: each peer has a transport of its own, which is replaced after a time-out.

--- a/peer/auth.go
+++ b/peer/auth.go
@@ -29,12 +29,9 @@
 // signer adds the authentication code to requests.
 type signer struct {
 	secret string
-	next   *http.Transport
+	next   http.RoundTripper
 }
 
-// CloseIdleConnections implements the interface that http.Client.CloseIdleConnections expects.
-func (s *signer) CloseIdleConnections() { s.next.CloseIdleConnections() }
-
 func (s *signer) RoundTrip(r *http.Request) (*http.Response, error) {
 	var body []byte
 	if r.Body != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -33,9 +33,14 @@
 // Client calls other entry VMs by their peer address.
 type Client struct {
 	o       ClientOptions
-	http    *http.Client
 	mu      sync.Mutex
-	clients map[string]peerv1connect.PeerServiceClient
+	clients map[string]*addressClient
+}
+
+// addressClient calls the VM at one address over connections of its own.
+type addressClient struct {
+	peerv1connect.PeerServiceClient
+	transport *http.Transport
 }
 
 // NewClient returns a client.
@@ -43,9 +48,12 @@
 	if o.Timeout <= 0 {
 		o.Timeout = DefaultTimeout
 	}
+	return &Client{o: o, clients: map[string]*addressClient{}}
+}
+
+func (c *Client) newAddressClient(address string) *addressClient {
 	t := &http.Transport{
-		TLSClientConfig:        o.TLS,
-		MaxIdleConns:           maxClients,
+		TLSClientConfig:        c.o.TLS,
 		MaxIdleConnsPerHost:    2,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: bounded.HeadBytes,
@@ -53,47 +61,68 @@
 		HTTP2:                  &http.HTTP2Config{MaxReceiveBufferPerStream: maxUnreadBytes},
 	}
 	t.Protocols.SetHTTP2(true)
-	t.Protocols.SetUnencryptedHTTP2(o.TLS == nil)
-	return &Client{
-		o:       o,
-		http:    &http.Client{Transport: &signer{o.Secret, t}, Timeout: o.Timeout},
-		clients: map[string]peerv1connect.PeerServiceClient{},
+	t.Protocols.SetUnencryptedHTTP2(c.o.TLS == nil)
+	scheme := "http://"
+	if c.o.TLS != nil {
+		scheme = "https://"
 	}
+	h := &http.Client{Transport: &signer{c.o.Secret, t}, Timeout: c.o.Timeout}
+	return &addressClient{peerv1connect.NewPeerServiceClient(h, scheme+address, connect.WithReadMaxBytes(maxAnswerBytes)), t}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeAll()
+}
+
+// closeAll drops all clients. Calls in flight end on their connections. The lock must be held.
+func (c *Client) closeAll() {
+	for _, p := range c.clients {
+		p.transport.CloseIdleConnections()
+	}
+	clear(c.clients)
+}
 
 // clientFor returns the cached client of an address, or a new one.
-func (c *Client) clientFor(address string) peerv1connect.PeerServiceClient {
+func (c *Client) clientFor(address string) *addressClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p, ok := c.clients[address]; ok {
 		return p
 	}
 	if len(c.clients) >= maxClients {
-		clear(c.clients) // the connections stay in the transport's own pool
-	}
-	scheme := "http://"
-	if c.o.TLS != nil {
-		scheme = "https://"
+		c.closeAll()
 	}
-	p := peerv1connect.NewPeerServiceClient(c.http, scheme+address, connect.WithReadMaxBytes(maxAnswerBytes))
+	p := c.newAddressClient(address)
 	c.clients[address] = p
 	return p
 }
 
-func call[Req, Res any](ctx context.Context, c *Client, r *Req,
-	f func(context.Context, *connect.Request[Req]) (*connect.Response[Res], error)) (*Res, error) {
+// dropClient makes the next call to an address use a new connection. A connection with a call that has timed out may have gone
+// silent, and other calls can keep it from becoming idle.
+func (c *Client) dropClient(address string, p *addressClient) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.clients[address] == p {
+		delete(c.clients, address)
+	}
+	p.transport.CloseIdleConnections()
+}
+
+func call[Req, Res any](ctx context.Context, c *Client, address string, r *Req,
+	f func(peerv1connect.PeerServiceClient, context.Context, *connect.Request[Req]) (*connect.Response[Res], error)) (*Res, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.o.Timeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	res, err := f(ctx, connect.NewRequest(r))
+	p := c.clientFor(address)
+	res, err := f(p, ctx, connect.NewRequest(r))
 	switch {
 	case err == nil:
 		return res.Msg, nil
 	case !time.Now().Before(deadline) && !errors.Is(ctx.Err(), context.Canceled):
-		c.http.CloseIdleConnections() // the connection of this call may be silent, and those of other peers with it
+		c.dropClient(address, p)
 		// The peer's deadline is the same. Of its answer, the status may arrive but not the body with the code. On a busy
 		// machine the context ends some time after its deadline.
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
@@ -104,26 +133,26 @@
 
 // ExchangeTable compares member tables with the VM at address.
 func (c *Client) ExchangeTable(ctx context.Context, address string, r *peerv1.ExchangeTableRequest) (*peerv1.ExchangeTableResponse, error) {
-	return call(ctx, c, r, c.clientFor(address).ExchangeTable)
+	return call(ctx, c, address, r, peerv1connect.PeerServiceClient.ExchangeTable)
 }
 
 // Claim applies an operation on a caller key at the owner of its shard.
 func (c *Client) Claim(ctx context.Context, address string, r *peerv1.ClaimRequest) (*peerv1.ClaimResponse, error) {
-	return call(ctx, c, r, c.clientFor(address).Claim)
+	return call(ctx, c, address, r, peerv1connect.PeerServiceClient.Claim)
 }
 
 // IssuedKey applies an operation on an issued key at the VM that issued it.
 func (c *Client) IssuedKey(ctx context.Context, address string, r *peerv1.IssuedKeyRequest) (*peerv1.IssuedKeyResponse, error) {
-	return call(ctx, c, r, c.clientFor(address).IssuedKey)
+	return call(ctx, c, address, r, peerv1connect.PeerServiceClient.IssuedKey)
 }
 
 // ExchangeShares exchanges the demand of accounts with the VM at address.
 func (c *Client) ExchangeShares(ctx context.Context, address string, r *peerv1.ExchangeSharesRequest) (*peerv1.ExchangeSharesResponse, error) {
-	return call(ctx, c, r, c.clientFor(address).ExchangeShares)
+	return call(ctx, c, address, r, peerv1connect.PeerServiceClient.ExchangeShares)
 }
 
 // GetConfiguration fetches an encoded configuration; revision 0 asks for the highest.
 func (c *Client) GetConfiguration(ctx context.Context, address string, revision uint64) (uint64, []byte, error) {
-	res, err := call(ctx, c, &peerv1.GetConfigurationRequest{Revision: revision}, c.clientFor(address).GetConfiguration)
+	res, err := call(ctx, c, address, &peerv1.GetConfigurationRequest{Revision: revision}, peerv1connect.PeerServiceClient.GetConfiguration)
 	return res.GetRevision(), res.GetValue(), err
 }
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -11,7 +11,7 @@
 	"bergamotcroft.example/bergamot/internal/silence"
 )
 
-// Guards against a follower that waits for a peer on a connection that has gone silent, and against one that goes on using it.
+// Guards against a follower that goes on calling its peer on a connection that has gone silent, also while another call waits on it.
 func TestATimeoutEndsASilentConnection(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -26,11 +26,17 @@
 	proxy, err := silence.NewProxy(l.Addr().String())
 	is.NoErr(err)
 	defer proxy.Close()
-	c := NewClient(ClientOptions{Secret: "s", Timeout: 5 * time.Second})
+	c := NewClient(ClientOptions{Secret: "s", Timeout: 30 * time.Second})
 	_, _, err = c.GetConfiguration(t.Context(), proxy.Address(), 0)
 	is.NoErr(err)
 
 	proxy.Silence()
+	waiting := make(chan error, 1)
+	longer, end := context.WithCancel(t.Context())
+	go func() {
+		_, _, err := c.GetConfiguration(longer, proxy.Address(), 0)
+		waiting <- err
+	}()
 	short, stop := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer stop()
 	_, _, err = c.GetConfiguration(short, proxy.Address(), 0)
@@ -38,6 +44,8 @@
 	revision, _, err := c.GetConfiguration(t.Context(), proxy.Address(), 0)
 	is.NoErr(err)
 	is.Equal(revision, uint64(7))
+	end()
+	is.True(<-waiting != nil)
 	c.Close()
 	cancel()
 	is.NoErr(<-done)
