edge: a stopping VM takes only the requests that it can finish

Cause: in a stop the front served all that came, and the listener was closed 0.7 s before the end of the grace whatever was in hand.

Change: from three seconds on, when callers' answers of the directory have run out, a request is taken only if its deadline or the route's limit ends before the process does. Others are refused at once: not run, use another VM. At the end of the grace requests that wait for an upstream are refused, and those that run are answered with a failure in place of a cut connection. A request that arrives while the listener is being closed is waited for.

Weighed: refusing by the usual time of a route's work in place of its limit. It takes more requests, but a slow one is cut.

Before, the front had no such decision: every path was served in a stop, and the end cut what was in hand.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"bergamotcroft.example/bergamot/forward"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/platform"
 )
@@ -25,6 +26,8 @@
 	busyConns atomic.Int64 // connections with a request
 	mu        sync.Mutex
 	states    map[net.Conn]http.ConnState
+	closed    chan struct{} // closed by close
+	closeOnce sync.Once
 }
 
 const (
@@ -47,7 +50,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	s := &server{listener: l, states: map[net.Conn]http.ConnState{}}
+	s := &server{listener: l, states: map[net.Conn]http.ConnState{}, closed: make(chan struct{})}
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
 		ConnState: s.trackConn,
@@ -77,18 +80,21 @@
 	s.states[c] = state
 }
 
+// serve serves until close is called. A shutdown of the HTTP server that comes before does not end the process's other actors.
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
+		<-s.closed
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
-// closeTimeout bounds the wait for answers that are still being written at the end of a stop.
-const closeTimeout = 500 * time.Millisecond
+// closeTimeout bounds the wait for answers that are still being written at the end of a process.
+const closeTimeout = 100 * time.Millisecond
 
 func (s *server) close() {
+	defer s.closeOnce.Do(func() { close(s.closed) })
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
@@ -190,26 +196,67 @@
 // Durations of a stop, from its signal.
 const (
 	// addressDrainTime is how long callers may still use an address that they have cached.
-	addressDrainTime = 3*addressTTL + 500*time.Millisecond
-	// stopMargin is the part of the platform's grace period that is left for the process to end.
-	stopMargin        = 700 * time.Millisecond
+	addressDrainTime = 3 * addressTTL
+	// minDrainTime leaves time for the last requests of such callers to arrive.
+	minDrainTime      = addressDrainTime + 500*time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 )
 
+// Times before the end of the platform's grace period, at which the process is killed.
+const (
+	waitingMargin = 700 * time.Millisecond // requests that were sent to no upstream are refused
+	answerMargin  = 500 * time.Millisecond // all others are given up
+	// closeMargin is for callers that have not sent a request completely.
+	closeMargin = 300 * time.Millisecond
+)
+
+// unusedConnTime is how long a connection that has carried no request delays the end of a stop.
+const unusedConnTime = 500 * time.Millisecond
+
 // drain removes this entry VM from the directory's answers, serves callers that have cached its address and waits for
 // running requests.
 func (e *Edge) drain() {
 	start := time.Now()
+	grace := start.Add(e.settings.Bounds.StopGrace)
+	waitingEnd := grace.Add(-waitingMargin)
 	e.leaving.Store(true)
 	e.list.Leave()
-	e.front.Stop()
+	e.front.Stop(forward.StopPlan{AddressesEnd: start.Add(addressDrainTime), AnswersEnd: waitingEnd})
 	e.log.Info("leaving", zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()))
-	limit := e.settings.Bounds.StopGrace - stopMargin
-	for time.Since(start) < limit {
+	for time.Now().Before(waitingEnd) && (time.Since(start) < minDrainTime || e.callers().busyConns.Load() > 0) {
 		time.Sleep(drainPollInterval)
-		if time.Since(start) >= addressDrainTime && e.callers().busyConns.Load() == 0 {
-			break
-		}
 	}
+	e.finishRequests(waitingEnd, grace)
 	e.log.Info("drained", zap.Duration("took", time.Since(start)), zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()))
 }
+
+// finishRequests closes the listener for callers and the idle connections, and waits for the requests that have arrived meanwhile. What
+// is not answered in time gets a refusal or a failure rather than a connection that is cut.
+func (e *Edge) finishRequests(waitingEnd, grace time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), grace.Add(-closeMargin))
+	defer cancel()
+	waiting := time.AfterFunc(time.Until(waitingEnd), e.front.RefuseWaiting)
+	defer waiting.Stop()
+	all := time.AfterFunc(time.Until(grace.Add(-answerMargin)), e.front.EndAll)
+	defer all.Stop()
+	done := make(chan error, 1)
+	go func() { done <- e.callers().http.Shutdown(ctx) }()
+	poll := time.NewTicker(drainPollInterval)
+	defer poll.Stop()
+	for lastBusy := time.Now(); ; {
+		select {
+		case err := <-done:
+			if err != nil {
+				e.log.Warn("connections of callers are cut", zap.Int64("connections", e.callers().openConns.Load()),
+					zap.Int64("busy", e.callers().busyConns.Load()), zap.Error(err))
+			}
+			return
+		case now := <-poll.C:
+			if e.callers().busyConns.Load() > 0 {
+				lastBusy = now
+			} else if now.Sub(lastBusy) > unusedConnTime {
+				cancel() // only connections that have carried nothing are left
+			}
+		}
+	}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -61,7 +61,11 @@
 	opts    Options
 	metrics *metricSet
 	bodies  atomic.Int64 // bytes reserved for request bodies
-	stopped atomic.Bool
+
+	stopPlan           atomic.Pointer[StopPlan] // nil unless the entry VM stops
+	waitingEnds        context.Context          // ends when requests that were sent to no upstream are refused
+	allEnd             context.Context          // ends when all requests are given up
+	endWaiting, endAll context.CancelFunc
 }
 
 // New returns a Front.
@@ -87,7 +91,10 @@
 	if o.OnLeaving == nil {
 		o.OnLeaving = func(string) {}
 	}
-	return &Front{opts: o, metrics: newMetricSet()}
+	f := &Front{opts: o, metrics: newMetricSet()}
+	f.waitingEnds, f.endWaiting = context.WithCancel(context.Background())
+	f.allEnd, f.endAll = context.WithCancel(context.Background())
+	return f
 }
 
 const (
@@ -115,14 +122,11 @@
 	deadlineMargin = 5 * time.Millisecond
 )
 
-// Stop makes every further answer carry "Connection: close", so that callers move to other connections.
-func (f *Front) Stop() { f.stopped.Store(true) }
-
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{f: f, w: w, r: r, arrival: time.Now()}
 	defer func() { f.bodies.Add(-x.reserved) }()
-	if f.stopped.Load() {
+	if f.stopPlan.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	err := x.serve()
@@ -227,6 +231,10 @@
 		}
 	})
 	defer stopWatch()
+	if err = x.checkStop(); err != nil {
+		return err
+	}
+	defer x.endWithStop(abandon)()
 	if err = x.bindVersion(ctx); err != nil {
 		return err
 	}
--- a/quarantine/evidencearchive.go
+++ b/quarantine/evidencearchive.go
@@ -19,7 +19,7 @@
 	// evidenceInterval is the least time between two writes of a VM's evidence. The first change of a series is written at once.
 	evidenceInterval = 250 * time.Millisecond
 	// finalWriteTimeout bounds the last write of a process that stops.
-	finalWriteTimeout = 400 * time.Millisecond
+	finalWriteTimeout = 150 * time.Millisecond
 )
 
 // storedEvidence is what this entry VM's object holds. Only keepEvidence uses it once the archive is loaded.
