versions: begin streams by a new plan once no VM can be without it

Cause: a VM takes streams up by its plans for 4 s after its last contact, and the others begin streams by a new plan at once. A VM that wakes also takes an answer from before its suspension for a fresh one.

Change: - A new plan is used for beginnings once all other VMs have stated its revision (in the datagrams of loads, sent at once when it changes), or 5 s after this VM has learned of it. Until then streams begin by the plan before, unless its version is not served any more. Fleets in which not all VMs send to one another wait the 5 s. - A process that has not run for a second, by the clock that goes on in a suspension, reads the plans from the store before it takes a stream up by them.

The wait is bounded and does not happen when all VMs have the plan.

Left: when the last server of a version leaves, streams whose version has gone begin by the new plan at once, as they have no other.

--- a/edge/versions.go
+++ b/edge/versions.go
@@ -17,7 +17,7 @@
 func (e *Edge) buildVersions() {
 	e.versions = versions.New(versions.Options{
 		Store: e.objects, Rank: e.planRank, OnStart: func(s versions.Start) { e.loads.QueueStart(s) }, OnPlans: e.catalog.SetPlans,
-		InMajority: e.inMajority, LostWithin: e.lostWithin, AwaitEraChange: e.objects.AwaitEraChange, Clock: store.BootClock{}, Log: e.log,
+		InMajority: e.inMajority, LostWithin: e.lostWithin, Confirmed: func(revision uint64) bool { return e.loads.PlansConfirmed(revision) }, AwaitEraChange: e.objects.AwaitEraChange, Clock: store.BootClock{}, Log: e.log,
 	})
 	e.addActor("versions", e.versions.Run)
 }
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -92,6 +92,7 @@
 	mu                 sync.Mutex
 	pendingPlacements  []queued[placement]
 	peers              map[string]*peerState
+	peerRevisions      map[string]uint64    // by host: revision of the plans for software versions that the peer has stated
 	lastReceived       map[string]time.Time // by host: time of the last message of a peer; kept after its load has expired
 	receivedPlacements []placement          // not yet passed to the scheduler
 	receivedGone       []uint32             // hashes of upstreams reported as gone, not yet handled
@@ -106,6 +107,8 @@
 	seq      uint64
 	lastOwn  []load
 	lastSent time.Time
+	// lastRevision is the revision of the plans in the last message.
+	lastRevision uint64
 
 	fullReportAt time.Time // last report of all loads to the scheduler
 	relaying     relayState
@@ -132,7 +135,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Exchange{opts: o, peers: map[string]*peerState{}, lastReceived: map[string]time.Time{}, peerLoads: map[uint32]load{}, dirty: map[uint32]struct{}{},
+	return &Exchange{opts: o, peers: map[string]*peerState{}, peerRevisions: map[string]uint64{}, lastReceived: map[string]time.Time{}, peerLoads: map[uint32]load{}, dirty: map[uint32]struct{}{},
 		wake: make(chan struct{}, 1)}
 }
 
@@ -321,18 +324,19 @@
 	gone, crashes, limits := x.pendingGone.take(maxGone), x.pendingCrashes.take(maxCrashes), x.pendingLimits.take(now)
 	partNotices, starts := x.pendingParts.take(maxPartNotices), x.pendingStarts.take(maxStarts)
 	x.mu.Unlock()
+	revision := x.plansRevision()
 	idle := len(own) == 0 && len(x.lastOwn) == 0
 	due := refreshInterval
 	if idle {
 		due = keepAliveInterval
 	}
-	if len(placements)+len(gone)+len(crashes)+len(limits)+len(partNotices)+len(starts) == 0 && slices.Equal(own, x.lastOwn) && now.Sub(x.lastSent) < due {
+	if len(placements)+len(gone)+len(crashes)+len(limits)+len(partNotices)+len(starts) == 0 && revision == x.lastRevision && slices.Equal(own, x.lastOwn) && now.Sub(x.lastSent) < due {
 		return
 	}
 	x.seq++
-	x.lastOwn, x.lastSent = own, now
+	x.lastOwn, x.lastSent, x.lastRevision = own, now, revision
 	m := message{boot: x.opts.Boot, seq: x.seq, loads: own, placements: placements, gone: gone, crashes: crashes, limits: limits, partNotices: partNotices,
-		starts: starts, plansRevision: x.plansRevision()}
+		starts: starts, plansRevision: revision}
 	x.sendMessage(x.recipients(), m)
 }
 
@@ -415,6 +419,7 @@
 		return
 	}
 	x.handleDirect(now, from, &m)
+	x.noteRevision(from, m.plansRevision)
 	x.reportStarts(&m)
 	x.reportCrashes(&m)
 	x.reportPartNotices(&m)
--- a/loads/starts.go
+++ b/loads/starts.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 
 	"bergamotcroft.example/bergamot/internal/wire"
+	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/versions"
 )
 
@@ -23,6 +24,40 @@
 	return x.opts.PlansRevision()
 }
 
+// PlansConfirmed reports whether all other entry VMs have stated that they have the plans of a revision, or newer ones. In a fleet in
+// which not all send to one another it is false.
+func (x *Exchange) PlansConfirmed(revision uint64) bool {
+	self, all := x.opts.List.Self(), x.opts.List.Members()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i := range all {
+		m := &all[i]
+		if m.Name == self.Name || m.State == membership.Gone {
+			continue
+		}
+		if host, ok := hostOf(m.Address); !ok || x.peerRevisions[host] < revision {
+			return false
+		}
+	}
+	return true
+}
+
+// noteRevision records the revision that a peer has stated.
+func (x *Exchange) noteRevision(from string, revision uint64) {
+	host, ok := hostOf(from)
+	if !ok || revision == 0 {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if _, known := x.peerRevisions[host]; known || len(x.peerRevisions) < maxPeerRevisions {
+		x.peerRevisions[host] = max(x.peerRevisions[host], revision)
+	}
+}
+
+// maxPeerRevisions bounds the table of revisions. VMs that are replaced have new addresses.
+const maxPeerRevisions = 4096
+
 // reportStarts passes the starts of streams and the revision of a message to Options.OnStart and Options.OnPlansRevision.
 func (x *Exchange) reportStarts(m *message) {
 	if x.opts.OnStart != nil {
--- a/versions/continue.go
+++ b/versions/continue.go
@@ -70,7 +70,7 @@
 	}
 	version := s.current.Pick(stream)
 	switch {
-	case !k.known || k.newest > k.revision:
+	case k.mayBeOutdated(now):
 		return version, unread
 	case !k.inContact(now, contactTTL):
 		return version, detached
--- a/versions/fleet_test.go
+++ b/versions/fleet_test.go
@@ -76,16 +76,28 @@
 	t     *testing.T
 	store *planStore
 	all   []*testVM
+	// confirms makes the entry VMs state the revisions of their plans, which also those that are not in all any more do.
+	confirms []*testVM
 }
 
 type testVM struct {
 	*Keeper
 	stop     func()
-	cutOff   atomic.Bool // from the store and from all other entry VMs
-	majority atomic.Bool // what InMajority returns
-	lost     atomic.Bool // what LostWithin returns: another entry VM is cut off
+	cutOff   atomic.Bool   // from the store and from all other entry VMs
+	majority atomic.Bool   // what InMajority returns
+	lost     atomic.Bool   // what LostWithin returns: another entry VM is cut off
+	adopted  atomic.Uint64 // revision of its plans
+	ahead    atomic.Int64  // of its clock, in nanoseconds: the time for which it was suspended
 }
 
+// suspendableClock is the clock of an entry VM that has been suspended.
+type suspendableClock struct {
+	store.SystemClock
+	vm *testVM
+}
+
+func (c suspendableClock) Now() time.Time { return time.Now().Add(time.Duration(c.vm.ahead.Load())) }
+
 // vmStore is the store as one entry VM reaches it.
 type vmStore struct {
 	*planStore
@@ -140,7 +152,7 @@
 	vm := &testVM{}
 	rank := len(f.all)
 	reached := vmStore{f.store, vm}
-	vm.Keeper = New(Options{Store: reached, Rank: func() int { return rank }, InMajority: vm.majority.Load, LostWithin: func(time.Duration) bool { return vm.lost.Load() }, OnStart: func(s Start) {
+	vm.Keeper = New(Options{Store: reached, Confirmed: f.confirmed, Clock: suspendableClock{vm: vm}, OnPlans: func(revision uint64, _ []byte) { vm.adopted.Store(revision) }, Rank: func() int { return rank }, InMajority: vm.majority.Load, LostWithin: func(time.Duration) bool { return vm.lost.Load() }, OnStart: func(s Start) {
 		for _, other := range f.all {
 			if other != vm && !vm.cutOff.Load() && !other.cutOff.Load() {
 				go other.Receive(s) // as a datagram: the sender holds a lock
@@ -155,6 +167,16 @@
 	return vm
 }
 
+// confirmed reports whether all entry VMs in confirms can state that they have a revision.
+func (f *fleetTest) confirmed(revision uint64) bool {
+	for _, vm := range f.confirms {
+		if vm.cutOff.Load() || vm.adopted.Load() < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // restart kills all entry VMs and starts as many.
 func (f *fleetTest) restart() {
 	n := len(f.all)
--- a/versions/keeper.go
+++ b/versions/keeper.go
@@ -30,6 +30,8 @@
 	InMajority func() bool
 	// LostWithin reports whether this entry VM has lost another one in this time and does not reach it; nil: it has not.
 	LostWithin func(time.Duration) bool
+	// Confirmed reports whether all other entry VMs have stated that they have the plans of a revision, or newer ones; nil: they have.
+	Confirmed func(revision uint64) bool
 	// AwaitEraChange waits until the store has been set back to a copy, as in package quarantine; nil: that does not happen.
 	AwaitEraChange func(ctx context.Context, after uint64) (uint64, error)
 	Clock          store.Clock
@@ -55,6 +57,13 @@
 	// contactTTL is how long an entry VM takes streams up by its plans after the store, or a peer that reaches it, last answered.
 	// The store answers a watch every two seconds.
 	contactTTL = 4 * time.Second
+	// confirmationWait is how long streams begin by the plan before a new one while an entry VM has not confirmed the new one. After
+	// that it takes no stream up by the plan before: it has not been in contact for contactTTL, or has read the new one.
+	confirmationWait = contactTTL + time.Second
+	// suspendedTime is the time without a tick from which this process counts as suspended. What it reads afterwards may have been sent
+	// before, so it relies on its plans only once it has read them again.
+	suspendedTime = time.Second
+	tickInterval  = 100 * time.Millisecond
 	// cutOffTTL is how long it begins streams by them. The others keep a plan that was replaced for as long while they don't
 	// reach an entry VM that they have lost, since that one may still begin streams by it.
 	cutOffTTL = 30 * time.Second
@@ -89,6 +98,8 @@
 	// unsureUntil is the time until which plans may have been in force that the store has lost.
 	unsureUntil time.Time
 	contactAt   time.Time // last answer of the store, or of a peer that reaches it
+	tickedAt    time.Time // last tick of Run; zero before the first
+	suspended   bool      // this process was suspended and has not read the plans since
 
 	objectVersion uint64 // of the stored object, 0 if there is none; used by Run only
 }
@@ -97,6 +108,8 @@
 type serviceState struct {
 	Service
 	current Plan
+	// earlier are the plans before current by which streams may still begin here, oldest first.
+	earlier []earlierPlan
 	past    []pastPlan // plans by which streams may have begun that can still be taken up
 	stored  []Plan     // as in the store, the current one last
 	joined  map[string]time.Time
@@ -111,6 +124,13 @@
 	replacedAt time.Time // or when this entry VM learned of it
 }
 
+// earlierPlan is a plan that streams begin by until the next one is confirmed or has been known for confirmationWait.
+type earlierPlan struct {
+	plan         Plan
+	nextRevision uint64 // revision of the next one
+	nextSince    time.Time
+}
+
 // New returns a Keeper without plans.
 func New(o Options) *Keeper {
 	if o.OnStart == nil {
@@ -125,6 +145,9 @@
 	if o.LostWithin == nil {
 		o.LostWithin = func(time.Duration) bool { return false }
 	}
+	if o.Confirmed == nil {
+		o.Confirmed = func(uint64) bool { return true }
+	}
 	if o.Clock == nil {
 		o.Clock = store.SystemClock{}
 	}
@@ -180,6 +203,20 @@
 	}
 }
 
+// beginVersion returns the version at which a stream begins now: that of the newest plan that no entry VM can be without, or, if
+// it is not served, that of the newest plan. The lock is held.
+func (k *Keeper) beginVersion(now time.Time, s *serviceState, stream StreamID) string {
+	for len(s.earlier) > 0 && (now.Sub(s.earlier[0].nextSince) >= confirmationWait || k.opts.Confirmed(s.earlier[0].nextRevision)) {
+		s.earlier = s.earlier[1:]
+	}
+	if len(s.earlier) > 0 {
+		if version := s.earlier[0].plan.Pick(stream); s.Serving[version] > 0 {
+			return version
+		}
+	}
+	return s.current.Pick(stream)
+}
+
 // lifetimeOf returns how long a stream of the service can be taken up. The lock is held.
 func (k *Keeper) lifetimeOf(s *serviceState) time.Duration {
 	return max(s.Lifetime, k.lifetime) + lifetimeMargin
@@ -227,8 +264,9 @@
 		k.mu.Lock()
 		k.lifetime = max(k.lifetime, min(deadline, maxLifetime))
 		s := k.service(service)
-		known, changed, inContact := k.known, k.changed, k.inContact(k.opts.Clock.Now(), cutOffTTL)
-		version := s.current.Pick(stream)
+		now := k.opts.Clock.Now()
+		known, changed, inContact := k.known, k.changed, k.inContact(now, cutOffTTL)
+		version := k.beginVersion(now, s, stream)
 		serves := s.Serving[version] > 0
 		anywhere, nowhere := len(s.Serving) == 0 && s.Unversioned > 0, len(s.Serving) == 0 && version != ""
 		k.mu.Unlock()
@@ -407,7 +445,7 @@
 // adoptService applies the stored plans of one service. The plan in force until now is kept as an earlier one, unless the list
 // shows that no stream can have begun by it lately; that of a restored store doesn't. The lock is held.
 func (k *Keeper) adoptService(now time.Time, s *serviceState, list []Plan, restored bool) {
-	until := now.Add(k.lifetimeOf(s))
+	until := now.Add(confirmationWait + k.lifetimeOf(s)) // streams begin by it until the new one is confirmed
 	for _, p := range list[:len(list)-1] {
 		if !slices.ContainsFunc(s.past, func(x pastPlan) bool { return slices.Equal(x.plan, p) }) {
 			s.past = append(s.past, pastPlan{p, until, now})
@@ -419,6 +457,12 @@
 		s.past = slices.DeleteFunc(s.past, func(x pastPlan) bool { return slices.Equal(x.plan, s.current) })
 		s.past = append(s.past, pastPlan{s.current, until, now})
 	}
+	if before := s.previous(list); len(before) > 0 && !slices.Equal(before, last) {
+		s.earlier = append(s.earlier, earlierPlan{before, k.revision, now})
+		if len(s.earlier) > maxPlans {
+			s.earlier = s.earlier[1:]
+		}
+	}
 	before := s.current
 	if len(before) == 0 { // what joined before this process started
 		before = list[0]
@@ -435,3 +479,33 @@
 	}
 	s.current, s.stored = last, list
 }
+
+// previous returns the plan before the last one of a stored list, or nil: the one in force here, or the one before it in the list if
+// this process has just started. The lock is held.
+func (s *serviceState) previous(list []Plan) Plan {
+	switch {
+	case len(s.current) > 0:
+		return s.current
+	case len(list) > 1:
+		return list[len(list)-2]
+	}
+	return nil
+}
+
+// tick records that this process runs. After a suspension the plans are read again. The time of the clock goes on in a suspension.
+func (k *Keeper) tick() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.opts.Clock.Now()
+	if !k.tickedAt.IsZero() && now.Sub(k.tickedAt) > suspendedTime {
+		k.opts.Log.Info("suspended; reading the plans for versions again", zap.Duration("time", now.Sub(k.tickedAt)))
+		k.suspended = true
+		k.trigger()
+	}
+	k.tickedAt = now
+}
+
+// mayBeOutdated reports whether newer plans may exist that have not been read. The lock is held.
+func (k *Keeper) mayBeOutdated(now time.Time) bool {
+	return !k.known || k.newest > k.revision || k.suspended || !k.tickedAt.IsZero() && now.Sub(k.tickedAt) > suspendedTime
+}
--- a/versions/writer.go
+++ b/versions/writer.go
@@ -38,6 +38,7 @@
 	if k.opts.AwaitEraChange != nil {
 		go k.followEras(ctx)
 	}
+	go k.keepTicking(ctx)
 	failures := 0
 	for ctx.Err() == nil {
 		wait, err := k.step(ctx)
@@ -59,6 +60,20 @@
 	return nil
 }
 
+// keepTicking calls tick until ctx ends.
+func (k *Keeper) keepTicking(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		k.tick()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // followEras reads the plans again whenever the store has been set back to a copy.
 func (k *Keeper) followEras(ctx context.Context) {
 	for era := uint64(firstEra); ; {
@@ -81,12 +96,16 @@
 func (k *Keeper) step(ctx context.Context) (time.Duration, error) {
 	k.keepPastPlans()
 	rank := k.opts.Rank()
+	k.mu.Lock()
+	suspended := k.suspended
+	read := len(k.services) > 0 && (!k.known || k.newest > k.revision) && rank >= 0
+	k.mu.Unlock()
+	if suspended {
+		return 0, k.reload(ctx)
+	}
 	if rank < 0 {
 		return reviewInterval, nil // another entry VM sends the plans
 	}
-	k.mu.Lock()
-	read := len(k.services) > 0 && (!k.known || k.newest > k.revision)
-	k.mu.Unlock()
 	if read {
 		if err := k.load(ctx); err != nil {
 			return 0, err
@@ -110,6 +129,18 @@
 	return 0, k.write(ctx, change)
 }
 
+// reload reads the stored plans after a suspension.
+func (k *Keeper) reload(ctx context.Context) error {
+	if err := k.load(ctx); err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.suspended = false
+	k.notify()
+	return nil
+}
+
 // load reads the stored plans.
 func (k *Keeper) load(ctx context.Context) error {
 	o, err := k.opts.Store.Get(ctx, planKind, planName)
