--- a/peer/client.go
+++ b/peer/client.go
@@ -19,6 +19,10 @@
 // partner of a table exchange.
 const maxClients = 256
 
+// idleConnTimeout is below the time after which a follower gives up a watcher whose connection has gone silent, so that its call to the
+// next watcher uses no connection from before the silence.
+const idleConnTimeout = 2 * time.Second
+
 // maxUnreadBytes bounds what a peer may send of an answer ahead of its reader. Of the default, 4 MB, all may arrive before a
 // reader has given up an endless answer.
 const maxUnreadBytes = 256 << 10
@@ -55,7 +59,7 @@
 	t := &http.Transport{
 		TLSClientConfig:        c.o.TLS,
 		MaxIdleConnsPerHost:    2,
-		IdleConnTimeout:        time.Minute,
+		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: bounded.HeadBytes,
 		Protocols:              new(http.Protocols),
 		HTTP2:                  &http.HTTP2Config{MaxReceiveBufferPerStream: maxUnreadBytes},
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -50,3 +50,30 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+// Guards against a follower that leaves a silent watcher and calls the next one on an idle connection that is silent too.
+func TestIdleConnectionsAreNotKept(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	s, err := New(Options{Listener: l, Secret: "s", Handlers: &Handlers{
+		GetConfiguration: func(context.Context, uint64) (uint64, []byte, error) { return 7, []byte("{}"), nil },
+	}})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	proxy, err := silence.NewProxy(l.Addr().String())
+	is.NoErr(err)
+	defer proxy.Close()
+	c := NewClient(ClientOptions{Secret: "s", Timeout: 5 * time.Second})
+	_, _, err = c.GetConfiguration(t.Context(), proxy.Address(), 0)
+	is.NoErr(err)
+	proxy.Silence()
+	time.Sleep(2 * idleConnTimeout) // a busy machine closes them later
+	_, _, err = c.GetConfiguration(t.Context(), proxy.Address(), 0)
+	is.NoErr(err)
+	c.Close()
+	cancel()
+	is.NoErr(<-done)
+}
