forward: answer callers that have closed their sending side only

Cause: net/http ends the request's context when it reads the end of the client's stream. The front then wrote nothing, and net/http sends an implicit 200 for that.

Change: such a request gets the refusal or failure that it would get otherwise. A closed connection, the other way weighed, tells a client that still reads less.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -135,8 +135,8 @@
 	case err == nil:
 	case x.begun.Load():
 		panic(http.ErrAbortHandler) // an answer that has begun must not look complete
-	case r.Context().Err() != nil:
 	default:
+		// Also for a caller that has left: it may have closed its sending side only, and net/http would send it an empty 200.
 		f.opts.Codec.Refuse(w, err)
 	}
 }
