scheduler: count the run of an attempt that failed beside a hedge

Cause: when one of two concurrent attempts fails, HedgeFailed did not count it among the possible runs. The failure of the other one counted alone, and the request went to a third server.

Change: HedgeFailed counts an attempt that may have run.

Evidence: platform: TestFailedHedgesCountAsRuns, "3 != 2" before.

--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -183,6 +183,9 @@
 	}
 	s.opts.Health.Observe(now, policy.Observation{Upstream: at, Kind: policy.ObservedCall, Failed: true})
 	s.HedgeSettled(now, r, !hedge)
+	if o != policy.RefusedNotRun && o != policy.FailedBeforeSend {
+		r.PossibleRuns++ // Finished counts the other one
+	}
 	if o == policy.Crashed {
 		s.recordCrash(now, r) // the first crash: suspects are not hedged
 		s.changeSuspects(r, 1)
