quarantine: bound the size of stored evidence

The bounds on the entries of a VM's evidence allow more than the store takes for an object; no evidence would have been stored then. The oldest is left out until it fits. The line about connections that are cut at the end of a stop is written only if some are.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -246,7 +246,7 @@
 	for lastBusy := time.Now(); ; {
 		select {
 		case err := <-done:
-			if err != nil {
+			if errors.Is(err, context.DeadlineExceeded) {
 				e.log.Warn("connections of callers are cut", zap.Int64("connections", e.callers().openConns.Load()),
 					zap.Int64("busy", e.callers().busyConns.Load()), zap.Error(err))
 			}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
+
+	"bergamotcroft.example/bergamot/store"
 )
 
 // Evidence is what an entry VM has itself observed of requests and parts that crash upstreams. The evidence of all entry VMs
@@ -38,8 +41,10 @@
 	Crash uint32 `json:"crash"`
 }
 
-// Bounds of one VM's evidence. With about 60 bytes for each entry it stays below the store's limit for an object.
+// Bounds of one VM's evidence.
 const (
+	// maxEvidenceBytes leaves room for the store's encoding within its limit for an object.
+	maxEvidenceBytes    = store.MaxValueBytes / 2
 	maxEvidenceRequests = 4096
 	maxEvidenceCrashes  = maxCrashRecords
 	maxEvidenceRuns     = 16 // of one crash
@@ -68,7 +73,21 @@
 	e.Proven = e.Proven[:min(len(e.Proven), maxEvidenceProven)]
 }
 
-// Evidence returns the unexpired evidence of this entry VM, in a fixed order.
+// marshal returns the stored form. Of evidence that is too long the oldest, and requests with the fewest crashes, are left out.
+func (e *Evidence) marshal() ([]byte, error) {
+	for {
+		b, err := json.Marshal(e)
+		if err != nil || len(b) <= maxEvidenceBytes {
+			return b, err
+		}
+		e.Requests = e.Requests[:len(e.Requests)/2]
+		e.Crashes = e.Crashes[:len(e.Crashes)/2]
+		e.Sound = e.Sound[:len(e.Sound)/2]
+	}
+}
+
+// Evidence returns the unexpired evidence of this entry VM, in a fixed order: of requests those with the most crashes first, of
+// crashes the newest first.
 func (l *Ledger) Evidence() Evidence {
 	e := l.opts.Parts.evidence()
 	l.mu.Lock()
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -215,3 +216,23 @@
 		vms[0].stop()
 	})
 }
+
+// Guards against evidence that the store refuses because it is too long, so that none is stored.
+func TestLongEvidenceIsShortened(t *testing.T) {
+	is := is.New(t)
+	var e Evidence
+	for i := range maxEvidenceRequests {
+		e.Requests = append(e.Requests, RequestCrashes{Fingerprint(i) << 40, []uint32{1 << 30, 1 << 31}, time.Now().UnixMilli()})
+	}
+	run := make([]PartID, maxEvidenceParts)
+	for i := range run {
+		run[i] = PartID(1+i) << 50
+	}
+	for i := range maxEvidenceCrashes {
+		e.Crashes = append(e.Crashes, PartCrash{Crash: uint32(1 + i), Runs: slices.Repeat([][]PartID{run}, maxEvidenceRuns)})
+	}
+	b, err := e.marshal()
+	is.NoErr(err)
+	is.True(len(b) <= maxEvidenceBytes)
+	is.True(len(e.Requests) > 0 && len(e.Crashes) > 0)
+}
--- a/quarantine/evidencearchive.go
+++ b/quarantine/evidencearchive.go
@@ -112,7 +112,7 @@
 	if e.empty() {
 		return a.deleteEvidence(ctx)
 	}
-	value, err := json.Marshal(e)
+	value, err := e.marshal()
 	if err != nil {
 		return err
 	}
