--- a/soak/pairs.go
+++ b/soak/pairs.go
@@ -128,10 +128,9 @@
 }
 
 const (
-	pauseInRelease     = 3800 * time.Millisecond
-	streamsInRelease   = 24
-	streamGapInRelease = 130 * time.Millisecond // so that the last streams begin shortly before the pause ends
-	breakAfter         = 200 * time.Millisecond
+	minPauseInRelease = time.Second
+	streamsInRelease  = 32
+	breakAfter        = 200 * time.Millisecond
 )
 
 // releaseDuringPause pauses an entry VM while servers of a new version join, begins streams at the other entry VMs, breaks them and takes
@@ -144,10 +143,14 @@
 			others = append(others, e)
 		}
 	}
-	paused.disturb(pauseInRelease + settleTime)
+	pause := minPauseInRelease + f.duration
+	paused.disturb(pause + settleTime)
 	paused.signal(syscall.SIGSTOP)
-	resumed := time.AfterFunc(pauseInRelease, func() { paused.signal(syscall.SIGCONT) })
-	defer resumed.Stop()
+	resumed := make(chan struct{})
+	time.AfterFunc(pause, func() {
+		paused.signal(syscall.SIGCONT)
+		close(resumed)
+	})
 	fl.mu.Lock()
 	fl.releases++
 	version := fmt.Sprintf("v%d", 1+fl.releases)
@@ -158,7 +161,7 @@
 	var all sync.WaitGroup
 	for k := range streamsInRelease {
 		all.Go(func() { fl.beginAndTakeUpAt(f, k, others[k%len(others)], paused) })
-		time.Sleep(streamGapInRelease)
+		time.Sleep(pause / streamsInRelease)
 		if k%4 == 3 {
 			fl.breakStreams()
 		}
@@ -166,7 +169,7 @@
 	time.Sleep(breakAfter)
 	fl.breakStreams()
 	all.Wait()
-	time.Sleep(pauseInRelease - min(pauseInRelease, streamsInRelease*streamGapInRelease))
+	<-resumed
 }
 
 // replaceServer replaces a server at once by one of a version.
