Reading the change again: one predicate for outcomes, shorter tests

The condition "certainly did not run" stood in the scheduler twice, in gateway and in forward; it is policy.Outcome.CertainlyNotRun now. The keeper of plans asks in one place whether plans are unread.

--- a/catalog/silence_test.go
+++ b/catalog/silence_test.go
@@ -18,8 +18,7 @@
 	drainTime  = 2 * time.Second
 )
 
-// Guards against a removed upstream that is kept as after an outage because only a connection to the store has gone silent. In review case
-// 1 it got bookings 3.3 s after its removal and was ended with them.
+// Guards against a removed upstream that is kept, as after an outage, because connections to the store have gone silent.
 func TestARemovalDuringASilenceIsInForceInTime(t *testing.T) {
 	for _, silences := range []int{1, 2, 3} {
 		for offset := time.Duration(0); offset < 2*time.Second; offset += 190 * time.Millisecond {
@@ -45,7 +44,7 @@
 	}
 }
 
-// Guards against removals that are never in force because the store cuts off waiting watches, which counted as an outage each time.
+// Guards against removals that are never in force because each watch that the store cuts off counts as an outage.
 func TestARemovalIsInForceWhileWatchesAreCutOff(t *testing.T) {
 	f := newFakeStore()
 	f.put("servers", "a", `{"s":"x"}`)
@@ -59,8 +58,7 @@
 	})
 }
 
-// Guards against a watcher that reports an outage of the store to its followers when only its connections have gone silent, so that they
-// keep a removed upstream.
+// Guards against a watcher that reports silent connections as an outage, so that its followers keep a removed upstream.
 func TestAFollowersRemovalDuringASilenceIsInForceInTime(t *testing.T) {
 	f := newFakeStore()
 	f.put("config", "main", `{"v":1}`)
--- a/conns/silence_test.go
+++ b/conns/silence_test.go
@@ -12,8 +12,7 @@
 	"bergamotcroft.example/bergamot/internal/silence"
 )
 
-// Guards against a pool whose idle connections have all gone silent and that pays a time-out for each of them, and against a request
-// that is written twice for it.
+// Guards against a time-out for each idle connection that has gone silent, and against a request that is written twice for it.
 func TestOneTimeoutEmptiesASilentPool(t *testing.T) {
 	is := is.New(t)
 	const idle = 3
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -260,7 +260,7 @@
 // notRunOutcome returns the outcome of a failed send if it means that the upstream certainly did not run the request.
 func notRunOutcome(err error) (o policy.Outcome, ok bool) {
 	var f *upstream.Failure
-	if !errors.As(err, &f) || f.Outcome != policy.RefusedNotRun && f.Outcome != policy.FailedBeforeSend {
+	if !errors.As(err, &f) || !f.Outcome.CertainlyNotRun() {
 		return 0, false
 	}
 	return f.Outcome, true
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -104,7 +104,7 @@
 func certainlyNotRun(err error) bool {
 	var failure *upstream.Failure
 	if errors.As(err, &failure) {
-		return failure.Outcome == policy.RefusedNotRun || failure.Outcome == policy.FailedBeforeSend
+		return failure.Outcome.CertainlyNotRun()
 	}
 	var refusal *result.Error
 	return errors.As(err, &refusal) && refusal.Execution == result.NotRun
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -398,6 +398,9 @@
 	Cancelled // by the caller or by the entry VM
 )
 
+// CertainlyNotRun reports whether an attempt with this outcome did not run.
+func (o Outcome) CertainlyNotRun() bool { return o == RefusedNotRun || o == FailedBeforeSend }
+
 // RetryPolicy decides on retries and hedges.
 type RetryPolicy interface {
 	// Arrived records a new request, which increases the budget.
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -10,9 +10,8 @@
 	"bergamotcroft.example/bergamot/store"
 )
 
-// Evidence is what an entry VM has itself observed of requests and parts that crash upstreams. The evidence of all entry VMs
-// together is what each of them knows from the others' messages, so a VM that starts reads it in place of the messages that it
-// has missed.
+// Evidence is what one entry VM has observed of requests and parts that crash upstreams. A VM that starts reads the evidence of all,
+// as it has missed their messages.
 type Evidence struct {
 	Requests []RequestCrashes `json:"requests,omitempty"`
 	Crashes  []PartCrash      `json:"crashes,omitempty"`
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -99,8 +99,7 @@
 	time.Sleep(time.Second)
 }
 
-// Guards against a request, or a part of prompts, that crashes more upstreams than users allow because the entry VMs restart between
-// its crashes. In review case 4 a request crashed seven servers over two rolling restarts.
+// Guards against a request, or a part of prompts, whose crashes are forgotten when the entry VMs restart between them.
 func TestCrashesOutliveRestarts(t *testing.T) {
 	for _, between := range []int{1, 2} { // crashes between two restarts
 		for _, atOnce := range []bool{false, true} {
@@ -162,7 +161,7 @@
 	})
 }
 
-// Guards against a VM that starts, hears of the crashes under a sound part in pieces and refuses it for a moment (soak seed 1139).
+// Guards against a VM that starts and refuses a sound part until it has heard of the evidence that clears it.
 func TestAStartingVMJudgesPartsByAllEvidence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -343,7 +343,7 @@
 
 // retryOrRefuse retries r after a failed attempt if that is safe, and refuses it otherwise.
 func (s *Scheduler) retryOrRefuse(now time.Duration, r *policy.Request, o policy.Outcome) {
-	mayHaveRun := o != policy.RefusedNotRun && o != policy.FailedBeforeSend
+	mayHaveRun := !o.CertainlyNotRun()
 	if o == policy.RefusedNotRun { // the upstream is full or being reconfigured and would refuse further requests
 		at := r.Prefill
 		if r.PromptDone {
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -183,7 +183,7 @@
 	}
 	s.opts.Health.Observe(now, policy.Observation{Upstream: at, Kind: policy.ObservedCall, Failed: true})
 	s.HedgeSettled(now, r, !hedge)
-	if o != policy.RefusedNotRun && o != policy.FailedBeforeSend {
+	if !o.CertainlyNotRun() {
 		r.PossibleRuns++ // Finished counts the other one
 	}
 	if o == policy.Crashed {
--- a/soak/pairs.go
+++ b/soak/pairs.go
@@ -40,7 +40,7 @@
 	return last
 }
 
-// removeAfterSilence removes the entry of a server, which never says that it drains, just after connections to the store have gone silent.
+// removeAfterSilence removes the entry of a server that has not reported draining, just after connections to the store went silent.
 func (fl *fleet) removeAfterSilence(f fault) {
 	n := fl.targetNode(f)
 	id, removed := n.currentID(), time.Time{}
--- a/versions/fleet_test.go
+++ b/versions/fleet_test.go
@@ -76,7 +76,7 @@
 	t     *testing.T
 	store *planStore
 	all   []*testVM
-	// confirms makes the entry VMs state the revisions of their plans, which also those that are not in all any more do.
+	// confirms holds the entry VMs that have to confirm a new plan; nil: none has to.
 	confirms []*testVM
 }
 
--- a/versions/keeper.go
+++ b/versions/keeper.go
@@ -505,7 +505,10 @@
 	k.tickedAt = now
 }
 
+// unread reports whether the stored plans, or newer ones that a VM has stated, have not been read. The lock is held.
+func (k *Keeper) unread() bool { return !k.known || k.newest > k.revision }
+
 // mayBeOutdated reports whether newer plans may exist that have not been read. The lock is held.
 func (k *Keeper) mayBeOutdated(now time.Time) bool {
-	return !k.known || k.newest > k.revision || k.suspended || !k.tickedAt.IsZero() && now.Sub(k.tickedAt) > suspendedTime
+	return k.unread() || k.suspended || !k.tickedAt.IsZero() && now.Sub(k.tickedAt) > suspendedTime
 }
--- a/versions/outdated_test.go
+++ b/versions/outdated_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
 
-// Guards against streams that an entry VM, cut off for less than contactTTL, takes up by its old plan while the others begin them by a
-// new one.
+// Guards against streams that a VM, cut off for less than contactTTL, takes up by its old plan while others begin them by a new one.
 func TestAnEntryVMThatIsCutOffForAMoment(t *testing.T) {
 	for _, cutBefore := range []time.Duration{0, 700 * time.Millisecond, 2 * time.Second} {
 		inVirtualTime(t, 5, func(f *fleetTest) {
@@ -26,13 +26,7 @@
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
-			atV2 := 0
-			for _, v := range f.begin("later", 100) {
-				if v == "v2" {
-					atV2++
-				}
-			}
-			f.True(atV2 > 0) // the wait is bounded
+			f.True(slices.Contains(f.begin("later", 100), "v2")) // the wait is bounded
 			f.all = append(f.all, lost)
 		})
 	}
@@ -48,17 +42,11 @@
 		time.Sleep(time.Second)
 		f.tellRevisions()
 		time.Sleep(time.Second)
-		atV2 := 0
-		for _, v := range f.begin("a", 100) {
-			if v == "v2" {
-				atV2++
-			}
-		}
-		f.True(atV2 > 0)
+		f.True(slices.Contains(f.begin("a", 100), "v2"))
 	})
 }
 
-// Guards against streams that an entry VM takes up by its old plan when it wakes after a suspension, before it has heard of a new one.
+// Guards against streams that a VM takes up by an outdated plan when it resumes after a suspension.
 func TestAnEntryVMThatWasSuspended(t *testing.T) {
 	for _, suspended := range []time.Duration{1200 * time.Millisecond, 3800 * time.Millisecond, time.Minute} {
 		inVirtualTime(t, 3, func(f *fleetTest) {
--- a/versions/writer.go
+++ b/versions/writer.go
@@ -98,7 +98,7 @@
 	rank := k.opts.Rank()
 	k.mu.Lock()
 	suspended := k.suspended
-	read := len(k.services) > 0 && (!k.known || k.newest > k.revision) && rank >= 0
+	read := len(k.services) > 0 && k.unread()
 	k.mu.Unlock()
 	if suspended {
 		return 0, k.reload(ctx)
