A planned stop counts from when its signal may have been sent

What callers saw: a VM that handled SIGTERM late (suspended, or with a small share of a busy processor) went on as if the whole grace were left. Until 3 s after it had handled the signal it took requests that it could not finish, and it ended what ran too late: SIGKILL cut the connections.

Cause: drain took the time at which it began as that of the signal.

Evidence: SIGSTOP, SIGTERM, 2 s, SIGCONT; grace 5 s; a booking with a limit of 10 s is sent 3.2 s after the signal. On the code before:

--- FAIL: TestAStopIsPlannedFromWhenItsSignalWasSent (5.03s) stop_test.go:105: err: unexpected EOF // the connection must not be cut

with "send request=late" in the log, 3.2 s after the signal. Now it is refused as not run, at once.

Change: the process sends itself a probe, a signal with a higher number than the stop signals, every 100 ms. What is pending is delivered and passed on by its number, and all come through one channel, so a stop signal that is received was sent after the last probe that has come back. planStop counts from there: until when requests are taken, when they are refused and ended. How long the listener stays open still counts from when the signal is handled, since callers hold the address from then on.

Not a tick that records the time: in the run above the timers of the process ran 2.4 ms before the signal was handled, so a tick's time would be later than the signal.

Price: 94 us of processor time a probe (20 us of it the timer) measured with one P beside load, so about 0.1 % of a core. In an undisturbed stop all times are up to 100 ms earlier. A signal that comes late in a long suspension ends requests earlier than needed; one that comes after it does not, since the first probe is back by then.

A VM that learns of a stop when the grace may be over has 200 ms to write its refusals before connections are closed (0 before).

--- a/cmd/bergamotd/edge.go
+++ b/cmd/bergamotd/edge.go
@@ -52,18 +52,18 @@
 		log.Error("not started", zap.Error(err))
 		return trace.Wrap(err)
 	}
-	stops := make(chan os.Signal, 4)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	start := time.Now() // a stop signal before has ended the process
+	received := make(chan os.Signal, 4)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, probeSignal)
+	stops := stopSignals{received: received, probe: sendProbe, onStop: func(s os.Signal, earliest time.Time) {
+		log.Info("signal", zap.Stringer("signal", s), zap.Duration("uncertainty", time.Since(earliest)))
+		e.Stop(earliest)
+	}}
+	go stops.run(start)
 	go func() {
-		for {
-			select {
-			case s := <-hangups:
-				log.Info("signal", zap.Stringer("signal", s))
-				e.Reload(platform.LoadSettings(file))
-			case s := <-stops:
-				log.Info("signal", zap.Stringer("signal", s))
-				e.Stop()
-			}
+		for s := range hangups {
+			log.Info("signal", zap.Stringer("signal", s))
+			e.Reload(platform.LoadSettings(file))
 		}
 	}()
 	return e.Run()
--- /dev/null
+++ b/cmd/bergamotd/signals.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"os"
+	"syscall"
+	"time"
+)
+
+const (
+	// probeSignal has no effect by default. Its number is higher than those of the stop signals, so that it is delivered after
+	// any that are pending.
+	probeSignal   = syscall.SIGWINCH
+	probeInterval = 100 * time.Millisecond
+)
+
+// stopSignals receives the stop signals and bounds when each was sent: a process that is suspended or gets little processor time
+// handles a signal late, and can't tell how late.
+//
+// It sends itself a probe through the same channel. Once a probe has come back, each stop signal that was sent before the probe has
+// been received.
+type stopSignals struct {
+	received <-chan os.Signal // stop signals and probes
+	probe    func() error     // sends probeSignal to this process
+	// onStop is called with each stop signal and the earliest time at which it may have been sent.
+	onStop func(s os.Signal, earliest time.Time)
+}
+
+// run receives signals until received is closed. No stop signal was sent before start. Probes end with the first stop signal.
+func (x *stopSignals) run(start time.Time) {
+	earliest := start
+	var probedAt time.Time // zero unless a probe is on its way
+	probes := time.NewTicker(probeInterval)
+	defer probes.Stop()
+	for {
+		select {
+		case s, ok := <-x.received:
+			switch {
+			case !ok:
+				return
+			case s != probeSignal:
+				probes.Stop()
+				x.onStop(s, earliest)
+			case !probedAt.IsZero():
+				earliest, probedAt = probedAt, time.Time{}
+			}
+		case <-probes.C:
+			if !probedAt.IsZero() {
+				continue
+			}
+			now := time.Now()
+			if x.probe() == nil { // otherwise earliest stays: the bound is wider, and still holds
+				probedAt = now
+			}
+		}
+	}
+}
+
+func sendProbe() error { return syscall.Kill(os.Getpid(), probeSignal) }
--- /dev/null
+++ b/cmd/bergamotd/stop_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/platform/standin"
+)
+
+// edgeVariable makes the test program run as an entry VM.
+const edgeVariable = "BERGAMOT_TEST_EDGE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(edgeVariable) != "" {
+		exit(runEdge("", ""))
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	testGrace        = 5 * time.Second
+	testRouteTimeout = 10 * time.Second
+)
+
+// startEdge starts an entry VM with one upstream of the service "app", whose runs go to observe, and returns its process and its
+// address for callers once it serves.
+func startEdge(t *testing.T, observe func(standin.Run)) (*exec.Cmd, string) {
+	t.Helper()
+	is := is.New(t)
+	store := standin.NewStore()
+	storeServer := httptest.NewServer(store)
+	t.Cleanup(storeServer.Close)
+	app, err := standin.NewServer(standin.ServerOptions{ID: "i-1", Service: "app", Slots: 8, Work: time.Millisecond, Observe: observe})
+	is.NoErr(err)
+	t.Cleanup(app.Crash)
+	is.NoErr(store.Put("config", "main", standin.Config(1, "h", "app", testRouteTimeout)))
+	is.NoErr(store.Put("servers", "i-1", app.Entry(app.Address(), "z", "ready", time.Now().UnixMilli())))
+
+	ip := fmt.Sprintf("127.%d.%d.3", 100+rand.IntN(100), rand.IntN(250)) // no other process uses it
+	at := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
+	settings, err := json.Marshal(map[string]any{
+		"node": "vm", "ip": ip, "zone": "z", "port_range": []int{9010, 9030},
+		"listen":       map[string]string{"front": at(9000), "ready": at(9001), "control": at(9002), "directory": at(9003)},
+		"limits":       map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": 256, "max_fds": 1000},
+		"heartbeat_ms": 60000,
+		"bounds": map[string]any{"drain_ms": 2000, "config_ms": 2000, "grace_s": testGrace.Seconds(), "budget_ratio": 0.2, "budget_slack": 60,
+			"budget_window_s": 10, "ttl_max_s": 5, "lease_ms": 3000},
+		"platform": map[string]any{"address": storeServer.Listener.Addr().String(), "writes_per_s": 400, "reads_per_s": 2000, "value_bytes": 1 << 20},
+	})
+	is.NoErr(err)
+	file := filepath.Join(t.TempDir(), "settings.json")
+	is.NoErr(os.WriteFile(file, settings, 0o600))
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), edgeVariable+"=1", platform.SettingsVariable+"="+file)
+	cmd.Stdout = t.Output()
+	is.NoErr(cmd.Start())
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill() // fails if it has ended
+		_ = cmd.Wait()
+	})
+	for n := 0; ; n++ { // until the configuration is in force
+		if c, err := standin.Dial(t.Context(), at(9000)); err == nil {
+			o := c.Do(standin.Attempt{ID: fmt.Sprint("first-", n), Host: "h", Path: "/once/x", Deadline: time.Second})
+			_ = c.Close()
+			if o.Status == http.StatusOK {
+				return cmd, at(9000)
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against requests that a VM takes, passes on and can't answer, because it counts the time to its end from when it handles the
+// signal and not from when it was sent.
+func TestAStopIsPlannedFromWhenItsSignalWasSent(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	is := is.New(t)
+	cmd, address := startEdge(t, func(standin.Run) {})
+	conn, err := standin.Dial(t.Context(), address)
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(cmd.Process.Signal(syscall.SIGSTOP))
+	is.NoErr(cmd.Process.Signal(syscall.SIGTERM))
+	sent := time.Now()
+	time.AfterFunc(time.Until(sent.Add(testGrace)), func() { _ = cmd.Process.Kill() }) // fails if it has ended
+	time.Sleep(2 * time.Second)
+	is.NoErr(cmd.Process.Signal(syscall.SIGCONT))
+	time.Sleep(time.Until(sent.Add(3200 * time.Millisecond))) // callers' addresses have expired
+	o := conn.Do(standin.Attempt{ID: "late", Host: "h", Path: "/once/x", Deadline: testRouteTimeout, Body: standin.WorkBody(testGrace, "late")})
+	is.NoErr(o.Err) // the connection must not be cut
+	is.Equal(o.Status, http.StatusServiceUnavailable)
+	is.Equal(o.Refusal, "shutting_down")
+}
+
+// Guards against a bound that is later than the signal: a stop signal that waits while other work of the process goes on.
+func TestAStopSignalIsBoundedByTheLastProbeThatCameBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		received, probes := make(chan os.Signal, 4), make(chan struct{}, 100)
+		var earliest []time.Time
+		x := stopSignals{received: received, onStop: func(_ os.Signal, e time.Time) { earliest = append(earliest, e) },
+			probe: func() error { probes <- struct{}{}; return nil }}
+		start := time.Now()
+		go x.run(start)
+		comeBack := func() time.Time {
+			<-probes
+			at := time.Now()
+			time.Sleep(time.Millisecond)
+			received <- probeSignal
+			synctest.Wait()
+			return at
+		}
+		comeBack()
+		last := comeBack()
+		<-probes // does not come back
+		time.Sleep(time.Minute)
+		received <- syscall.SIGTERM
+		received <- syscall.SIGTERM
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		is.Equal(len(probes), 0) // one probe at a time, and none after a stop signal
+		is.Equal(earliest, []time.Time{last, last})
+		close(received)
+	})
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -66,7 +66,7 @@
 	group             run.Group
 	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
 	leaving           atomic.Bool
-	stop              chan struct{}
+	stop              chan time.Time // gets the earliest time at which the stop may have been asked for
 	stopOnce          sync.Once
 }
 
@@ -75,7 +75,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan struct{}), upstreamAddresses: map[string]string{}}
+	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}}
 	limitRuntime(o.Settings.ResourceLimits)
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
 	e.pool = conns.New(conns.Options{})
@@ -378,10 +378,9 @@
 		e.group.Add(s.serve, func(error) { s.close() })
 	}
 	e.group.Add(func() error {
-		<-e.stop
-		e.drain()
+		e.drain(<-e.stop)
 		return nil
-	}, func(error) { e.Stop() })
+	}, func(error) { e.Stop(time.Now()) })
 }
 
 // Run serves until Stop has been called and the open requests are answered, or until an actor fails.
@@ -395,8 +394,8 @@
 	return trace.Wrap(err)
 }
 
-// Stop begins a graceful stop. Further calls have no effect.
-func (e *Edge) Stop() { e.stopOnce.Do(func() { close(e.stop) }) }
+// Stop begins a graceful stop, whose grace may have begun at earliest. Further calls have no effect.
+func (e *Edge) Stop(earliest time.Time) { e.stopOnce.Do(func() { e.stop <- earliest }) }
 
 // Reload logs a change of the settings file. The change has no other effect, since a process keeps its addresses and
 // limits until it ends.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -193,7 +193,7 @@
 	return sound
 }
 
-// Durations of a stop, from its signal.
+// Durations of a stop.
 const (
 	// addressDrainTime is how long callers may still use an address that they have cached.
 	addressDrainTime = 3 * addressTTL
@@ -210,34 +210,66 @@
 	closeMargin = 300 * time.Millisecond
 )
 
+// stopTimes are the moments of a planned stop.
+type stopTimes struct {
+	addressesEnd time.Time // from then on only requests that can be answered in time are taken
+	listenUntil  time.Time // callers may use a cached address
+	waitingEnd   time.Time
+	answersEnd   time.Time
+	closing      time.Time // connections are cut
+}
+
+// planStop returns the moments of a stop that this entry VM learns of at now. Its signal was sent between earliest and now. What must
+// be over when the process is killed counts from earliest; what callers are owed since the directory has left this VM out, from now.
+func planStop(earliest, now time.Time, grace time.Duration) stopTimes {
+	if longest := now.Add(-grace); earliest.Before(longest) {
+		earliest = longest // the process would have been killed
+	}
+	killed := earliest.Add(grace)
+	p := stopTimes{addressesEnd: earliest.Add(addressDrainTime), waitingEnd: latest(now, killed.Add(-waitingMargin)), answersEnd: latest(now, killed.Add(-answerMargin))}
+	p.listenUntil = now.Add(minDrainTime)
+	if p.listenUntil.After(p.waitingEnd) {
+		p.listenUntil = p.waitingEnd
+	}
+	p.closing = latest(p.answersEnd.Add(answerMargin-closeMargin), killed.Add(-closeMargin)) // refusals and failures take time to be written
+	return p
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // unusedConnTime is how long a connection that has carried no request delays the end of a stop.
 const unusedConnTime = 500 * time.Millisecond
 
 // drain removes this entry VM from the directory's answers, serves callers that have cached its address and waits for
-// running requests.
-func (e *Edge) drain() {
+// running requests. The stop's signal may have been sent as early as earliest.
+func (e *Edge) drain(earliest time.Time) {
 	start := time.Now()
-	grace := start.Add(e.settings.Bounds.StopGrace)
-	waitingEnd := grace.Add(-waitingMargin)
+	p := planStop(earliest, start, e.settings.Bounds.StopGrace)
 	e.leaving.Store(true)
 	e.list.Leave()
-	e.front.Stop(forward.StopPlan{AddressesEnd: start.Add(addressDrainTime), AnswersEnd: waitingEnd})
-	e.log.Info("leaving", zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()))
-	for time.Now().Before(waitingEnd) && (time.Since(start) < minDrainTime || e.callers().busyConns.Load() > 0) {
+	e.front.Stop(forward.StopPlan{AddressesEnd: p.addressesEnd, AnswersEnd: p.waitingEnd})
+	e.log.Info("leaving", zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()),
+		zap.Duration("left", time.Until(p.closing)))
+	for now := start; now.Before(p.waitingEnd) && (now.Before(p.listenUntil) || e.callers().busyConns.Load() > 0); now = time.Now() {
 		time.Sleep(drainPollInterval)
 	}
-	e.finishRequests(waitingEnd, grace)
+	e.finishRequests(&p)
 	e.log.Info("drained", zap.Duration("took", time.Since(start)), zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()))
 }
 
 // finishRequests closes the listener for callers and the idle connections, and waits for the requests that have arrived meanwhile. What
 // is not answered in time gets a refusal or a failure rather than a connection that is cut.
-func (e *Edge) finishRequests(waitingEnd, grace time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), grace.Add(-closeMargin))
+func (e *Edge) finishRequests(p *stopTimes) {
+	ctx, cancel := context.WithDeadline(context.Background(), p.closing)
 	defer cancel()
-	waiting := time.AfterFunc(time.Until(waitingEnd), e.front.RefuseWaiting)
+	waiting := time.AfterFunc(time.Until(p.waitingEnd), e.front.RefuseWaiting)
 	defer waiting.Stop()
-	all := time.AfterFunc(time.Until(grace.Add(-answerMargin)), e.front.EndAll)
+	all := time.AfterFunc(time.Until(p.answersEnd), e.front.EndAll)
 	defer all.Stop()
 	done := make(chan error, 1)
 	go func() { done <- e.callers().http.Shutdown(ctx) }()
