A request is judged in a stop by when it has been read whole

What callers saw: a request whose head came in the first 3 s of a planned stop and whose body came late in the grace was passed on as one that had come early, and cut or failed when the process ended.

Cause: checkStop, which runs after the body has been read, compared the arrival of the head with the time at which callers' addresses end.

Evidence: TestAStoppingVMJudgesARequestByWhenItIsWhole begins the stop between the head (the server has said "100 Continue") and the body.

stop_test.go:102: 200 != 503 --- FAIL: TestAStoppingVMJudgesARequestByWhenItIsWhole (0.00s)

Change: it compares the time at which it is called. Requests without a body are judged as before.

--- a/forward/stop.go
+++ b/forward/stop.go
@@ -15,10 +15,10 @@
 	AnswersEnd time.Time
 }
 
-// admits reports whether a request that arrives during a planned stop is taken. One that comes when callers should be gone is taken
-// only if it is over before the process ends, whether it is answered or reaches its deadline.
-func (p *StopPlan) admits(arrival, deadline time.Time) bool {
-	return arrival.Before(p.AddressesEnd) || !deadline.After(p.AnswersEnd)
+// admits reports whether a request that has been read whole at now, during a planned stop, is taken. One that comes when callers should
+// be gone is taken only if it is over before the process ends, whether it is answered or reaches its deadline.
+func (p *StopPlan) admits(now, deadline time.Time) bool {
+	return now.Before(p.AddressesEnd) || !deadline.After(p.AnswersEnd)
 }
 
 // stopRetryAfter is short: other entry VMs take the request.
@@ -39,9 +39,9 @@
 // that have begun are cut.
 func (f *Front) EndAll() { f.endAll() }
 
-// checkStop returns an error if the entry VM stops and the request could be cut.
+// checkStop returns an error if the entry VM stops and the request, which has been read, could be cut.
 func (x *exchange) checkStop() *result.Error {
-	if p := x.f.stopPlan.Load(); p != nil && !p.admits(x.arrival, x.deadline) {
+	if p := x.f.stopPlan.Load(); p != nil && !p.admits(time.Now(), x.deadline) {
 		return errStopping()
 	}
 	return nil
