Requests that arrive after the listener has closed are answered

What callers saw: from the moment at which a stopping VM closed its listener until its process ended (0.6 s and more), a request on a connection that had carried none yet was read whole, and the connection closed without an answer. On a process that gets little processor time that comes late after the request's last byte.

Cause: finishRequests called Shutdown of the HTTP server. From then on net/http reads a request and closes its connection, without calling the handler.

Change: the VM closes the listener and lets connections carry no second request, which closes the idle ones. Others are served as before the close, until nothing is in hand and only unused ones are left; then all requests are refused, and the process ends. Its servers wait for what is being written and then close, without Shutdown.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -80,26 +79,38 @@
 	s.states[c] = state
 }
 
-// serve serves until close is called. A shutdown of the HTTP server that comes before does not end the process's other actors.
+// serve serves until close is called. It ends the process's other actors only then, not when the listener is closed.
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-s.closed
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
-// closeTimeout bounds the wait for answers that are still being written at the end of a process.
-const closeTimeout = 100 * time.Millisecond
+// stopAccepting closes the listener and the idle connections. Each other connection is still served, until it has carried a request:
+// Shutdown of the HTTP server would read that and answer nothing.
+func (s *server) stopAccepting() {
+	_ = s.listener.Close() // it may be closed already
+	s.http.SetKeepAlivesEnabled(false)
+}
+
+const (
+	// closeTimeout bounds the wait for answers that are still being written at the end of a process.
+	closeTimeout      = 100 * time.Millisecond
+	closePollInterval = 5 * time.Millisecond
+)
 
 func (s *server) close() {
-	defer s.closeOnce.Do(func() { close(s.closed) })
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil {
+	s.closeOnce.Do(func() {
+		s.stopAccepting()
+		for end := time.Now().Add(closeTimeout); s.busyConns.Load() > 0 && time.Now().Before(end); {
+			time.Sleep(closePollInterval)
+		}
 		_ = s.http.Close()
-	}
+		close(s.closed)
+	})
 }
 
 // listen opens the listeners for callers, the directory, the readiness check and the metrics.
@@ -265,30 +276,32 @@
 // finishRequests closes the listener for callers and the idle connections, and waits for the requests that have arrived meanwhile. What
 // is not answered in time gets a refusal or a failure rather than a connection that is cut.
 func (e *Edge) finishRequests(p *stopTimes) {
-	ctx, cancel := context.WithDeadline(context.Background(), p.closing)
-	defer cancel()
 	waiting := time.AfterFunc(time.Until(p.waitingEnd), e.front.RefuseWaiting)
 	defer waiting.Stop()
 	all := time.AfterFunc(time.Until(p.answersEnd), e.front.EndAll)
 	defer all.Stop()
-	done := make(chan error, 1)
-	go func() { done <- e.callers().http.Shutdown(ctx) }()
-	poll := time.NewTicker(drainPollInterval)
-	defer poll.Stop()
-	for lastBusy := time.Now(); ; {
-		select {
-		case err := <-done:
-			if errors.Is(err, context.DeadlineExceeded) {
-				e.log.Warn("connections of callers are cut", zap.Int64("connections", e.callers().openConns.Load()),
-					zap.Int64("busy", e.callers().busyConns.Load()), zap.Error(err))
-			}
+	callers := e.callers()
+	callers.stopAccepting()
+	refusesAll := false
+	for lastBusy := time.Now(); ; time.Sleep(drainPollInterval) {
+		now := time.Now()
+		busy := callers.busyConns.Load() > 0
+		if busy {
+			lastBusy = now
+		}
+		switch {
+		case callers.openConns.Load() == 0:
+			return
+		case !now.Before(p.closing):
+			e.front.Stop(forward.StopPlan{})
+			e.log.Warn("connections of callers are cut", zap.Int64("connections", callers.openConns.Load()), zap.Int64("busy", callers.busyConns.Load()))
+			return
+		case busy:
+		case refusesAll: // nothing is in hand, and nothing is taken any more
 			return
-		case now := <-poll.C:
-			if e.callers().busyConns.Load() > 0 {
-				lastBusy = now
-			} else if now.Sub(lastBusy) > unusedConnTime {
-				cancel() // only connections that have carried nothing are left
-			}
+		case now.Sub(lastBusy) > unusedConnTime: // only connections that have carried nothing are left
+			e.front.Stop(forward.StopPlan{})
+			refusesAll = true
 		}
 	}
 }
--- a/edge/serve_test.go
+++ b/edge/serve_test.go
@@ -1,10 +1,19 @@
 package edge
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/forward"
+	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/routes"
 )
 
 // Guards against requests that are taken, or still waited for, when the process is killed, because its stop signal was handled late;
@@ -26,3 +35,44 @@
 		}
 	}
 }
+
+// Guards against a request that is read after the listener has closed, and whose connection ends without an answer.
+func TestARequestAfterTheListenerHasClosedIsAnswered(t *testing.T) {
+	is := is.New(t)
+	front := forward.New(forward.Options{Codec: platform.Codec{}, Table: func() *routes.Table { return nil }}) // refuses all, having no configuration
+	s, err := newServer("127.0.0.1:0", front, zap.NewNop())
+	is.NoErr(err)
+	address := s.listener.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- s.serve() }()
+	c, err := net.Dial("tcp4", address)
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(time.Minute)))
+	for s.openConns.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e := &Edge{servers: []*server{s}, front: front, log: zap.NewNop()}
+	end := time.Now().Add(time.Hour)
+	finished := make(chan struct{})
+	go func() {
+		e.finishRequests(&stopTimes{waitingEnd: end, answersEnd: end, closing: end})
+		close(finished)
+	}()
+	for {
+		other, err := net.Dial("tcp4", address)
+		if err != nil {
+			break
+		}
+		_ = other.Close()
+	}
+	_, err = fmt.Fprint(c, "GET /once/x HTTP/1.1\r\nHost: h\r\n\r\n")
+	is.NoErr(err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(resp.Close)
+	<-finished
+	s.close()
+	is.NoErr(<-served)
+}
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -29,7 +29,7 @@
 }
 
 // Stop begins a planned stop. Further answers carry "Connection: close", so that callers move to other connections, and requests that
-// could be cut are refused.
+// could be cut are refused. A further call replaces the plan; the zero one refuses all.
 func (f *Front) Stop(p StopPlan) { f.stopPlan.Store(&p) }
 
 // RefuseWaiting refuses the requests that have not been sent to an upstream.
