No request is passed on after a stop has given up all requests

What callers saw: where the grace is shorter than the 3 s for which callers hold an address, a VM went on taking requests after it had ended all it had in hand. They could reach an upstream before their own end was carried out, and were answered 502.

Cause: admits took all requests until callers' addresses end, whatever the end of the grace; and a context that has already ended calls its function in a goroutine, beside the send.

Evidence: TestNothingIsSentAfterTheEndOfAStop, before:

stop_test.go:121: 502 != 503 --- FAIL: TestNothingIsSentAfterTheEndOfAStop (0.09s)

Change: no request is taken from the moment at which requests begin to be ended.

Two more tests hold on the code before: a booking whose first upstream has stated that it did not run it is refused at the end if no other took it, and fails if one did; and of requests that are being sent while the stop ends (8 x 60), none is refused that has run.

--- a/forward/stop.go
+++ b/forward/stop.go
@@ -11,14 +11,14 @@
 type StopPlan struct {
 	// AddressesEnd is when no caller that follows the directory uses this entry VM any more.
 	AddressesEnd time.Time
-	// AnswersEnd is when requests that have not been answered begin to be ended.
+	// AnswersEnd is when requests that have not been answered begin to be ended. No request is taken from then on.
 	AnswersEnd time.Time
 }
 
 // admits reports whether a request that has been read whole at now, during a planned stop, is taken. One that comes when callers should
 // be gone is taken only if it is over before the process ends, whether it is answered or reaches its deadline.
 func (p *StopPlan) admits(now, deadline time.Time) bool {
-	return now.Before(p.AddressesEnd) || !deadline.After(p.AnswersEnd)
+	return now.Before(p.AddressesEnd) && now.Before(p.AnswersEnd) || !deadline.After(p.AnswersEnd)
 }
 
 // stopRetryAfter is short: other entry VMs take the request.
