--- a/edge/serve.go
+++ b/edge/serve.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -80,26 +79,38 @@
 	s.states[c] = state
 }
 
-// serve serves until close is called. A shutdown of the HTTP server that comes before does not end the process's other actors.
+// serve serves until close is called. It ends the process's other actors only then, not when the listener is closed.
 func (s *server) serve() error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-s.closed
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
-// closeTimeout bounds the wait for answers that are still being written at the end of a process.
-const closeTimeout = 100 * time.Millisecond
+// stopAccepting closes the listener and the idle connections. Each other connection is still served, until it has carried a request:
+// Shutdown of the HTTP server would read that and answer nothing.
+func (s *server) stopAccepting() {
+	_ = s.listener.Close() // it may be closed already
+	s.http.SetKeepAlivesEnabled(false)
+}
+
+const (
+	// closeTimeout bounds the wait for answers that are still being written at the end of a process.
+	closeTimeout      = 100 * time.Millisecond
+	closePollInterval = 5 * time.Millisecond
+)
 
 func (s *server) close() {
-	defer s.closeOnce.Do(func() { close(s.closed) })
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil {
+	s.closeOnce.Do(func() {
+		s.stopAccepting()
+		for end := time.Now().Add(closeTimeout); s.busyConns.Load() > 0 && time.Now().Before(end); {
+			time.Sleep(closePollInterval)
+		}
 		_ = s.http.Close()
-	}
+		close(s.closed)
+	})
 }
 
 // listen opens the listeners for callers, the directory, the readiness check and the metrics.
@@ -193,7 +204,7 @@
 	return sound
 }
 
-// Durations of a stop, from its signal.
+// Durations of a stop.
 const (
 	// addressDrainTime is how long callers may still use an address that they have cached.
 	addressDrainTime = 3 * addressTTL
@@ -210,53 +221,87 @@
 	closeMargin = 300 * time.Millisecond
 )
 
+// stopTimes are the moments of a planned stop.
+type stopTimes struct {
+	addressesEnd time.Time // from then on only requests that can be answered in time are taken
+	listenUntil  time.Time // callers may use a cached address
+	waitingEnd   time.Time
+	answersEnd   time.Time
+	closing      time.Time // connections are cut
+}
+
+// planStop returns the moments of a stop that this entry VM learns of at now. Its signal was sent between earliest and now. What must
+// be over when the process is killed counts from earliest; what callers are owed since the directory has left this VM out, from now.
+func planStop(earliest, now time.Time, grace time.Duration) stopTimes {
+	if longest := now.Add(-grace); earliest.Before(longest) {
+		earliest = longest // the process would have been killed
+	}
+	killed := earliest.Add(grace)
+	p := stopTimes{addressesEnd: earliest.Add(addressDrainTime), waitingEnd: latest(now, killed.Add(-waitingMargin)), answersEnd: latest(now, killed.Add(-answerMargin))}
+	p.listenUntil = now.Add(minDrainTime)
+	if p.listenUntil.After(p.waitingEnd) {
+		p.listenUntil = p.waitingEnd
+	}
+	p.closing = latest(p.answersEnd.Add(answerMargin-closeMargin), killed.Add(-closeMargin)) // refusals and failures take time to be written
+	return p
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // unusedConnTime is how long a connection that has carried no request delays the end of a stop.
 const unusedConnTime = 500 * time.Millisecond
 
 // drain removes this entry VM from the directory's answers, serves callers that have cached its address and waits for
-// running requests.
-func (e *Edge) drain() {
+// running requests. The stop's signal may have been sent as early as earliest.
+func (e *Edge) drain(earliest time.Time) {
 	start := time.Now()
-	grace := start.Add(e.settings.Bounds.StopGrace)
-	waitingEnd := grace.Add(-waitingMargin)
+	p := planStop(earliest, start, e.settings.Bounds.StopGrace)
 	e.leaving.Store(true)
 	e.list.Leave()
-	e.front.Stop(forward.StopPlan{AddressesEnd: start.Add(addressDrainTime), AnswersEnd: waitingEnd})
-	e.log.Info("leaving", zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()))
-	for time.Now().Before(waitingEnd) && (time.Since(start) < minDrainTime || e.callers().busyConns.Load() > 0) {
+	e.front.Stop(forward.StopPlan{AddressesEnd: p.addressesEnd, AnswersEnd: p.waitingEnd})
+	e.log.Info("leaving", zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()),
+		zap.Duration("left", time.Until(p.closing)))
+	for now := start; now.Before(p.waitingEnd) && (now.Before(p.listenUntil) || e.callers().busyConns.Load() > 0); now = time.Now() {
 		time.Sleep(drainPollInterval)
 	}
-	e.finishRequests(waitingEnd, grace)
+	e.finishRequests(&p)
 	e.log.Info("drained", zap.Duration("took", time.Since(start)), zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()))
 }
 
 // finishRequests closes the listener for callers and the idle connections, and waits for the requests that have arrived meanwhile. What
 // is not answered in time gets a refusal or a failure rather than a connection that is cut.
-func (e *Edge) finishRequests(waitingEnd, grace time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), grace.Add(-closeMargin))
-	defer cancel()
-	waiting := time.AfterFunc(time.Until(waitingEnd), e.front.RefuseWaiting)
+func (e *Edge) finishRequests(p *stopTimes) {
+	waiting := time.AfterFunc(time.Until(p.waitingEnd), e.front.RefuseWaiting)
 	defer waiting.Stop()
-	all := time.AfterFunc(time.Until(grace.Add(-answerMargin)), e.front.EndAll)
+	all := time.AfterFunc(time.Until(p.answersEnd), e.front.EndAll)
 	defer all.Stop()
-	done := make(chan error, 1)
-	go func() { done <- e.callers().http.Shutdown(ctx) }()
-	poll := time.NewTicker(drainPollInterval)
-	defer poll.Stop()
-	for lastBusy := time.Now(); ; {
-		select {
-		case err := <-done:
-			if errors.Is(err, context.DeadlineExceeded) {
-				e.log.Warn("connections of callers are cut", zap.Int64("connections", e.callers().openConns.Load()),
-					zap.Int64("busy", e.callers().busyConns.Load()), zap.Error(err))
-			}
+	callers := e.callers()
+	callers.stopAccepting()
+	refusesAll := false
+	for lastBusy := time.Now(); ; time.Sleep(drainPollInterval) {
+		now := time.Now()
+		busy := callers.busyConns.Load() > 0
+		if busy {
+			lastBusy = now
+		}
+		switch {
+		case callers.openConns.Load() == 0:
+			return
+		case !now.Before(p.closing):
+			e.front.Stop(forward.StopPlan{})
+			e.log.Warn("connections of callers are cut", zap.Int64("connections", callers.openConns.Load()), zap.Int64("busy", callers.busyConns.Load()))
+			return
+		case busy:
+		case refusesAll: // nothing is in hand, and nothing is taken any more
 			return
-		case now := <-poll.C:
-			if e.callers().busyConns.Load() > 0 {
-				lastBusy = now
-			} else if now.Sub(lastBusy) > unusedConnTime {
-				cancel() // only connections that have carried nothing are left
-			}
+		case now.Sub(lastBusy) > unusedConnTime: // only connections that have carried nothing are left
+			e.front.Stop(forward.StopPlan{})
+			refusesAll = true
 		}
 	}
 }
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -11,14 +11,14 @@
 type StopPlan struct {
 	// AddressesEnd is when no caller that follows the directory uses this entry VM any more.
 	AddressesEnd time.Time
-	// AnswersEnd is when requests that have not been answered begin to be ended.
+	// AnswersEnd is when requests that have not been answered begin to be ended. No request is taken from then on.
 	AnswersEnd time.Time
 }
 
-// admits reports whether a request that arrives during a planned stop is taken. One that comes when callers should be gone is taken
-// only if it is over before the process ends, whether it is answered or reaches its deadline.
-func (p *StopPlan) admits(arrival, deadline time.Time) bool {
-	return arrival.Before(p.AddressesEnd) || !deadline.After(p.AnswersEnd)
+// admits reports whether a request that has been read whole at now, during a planned stop, is taken. One that comes when callers should
+// be gone is taken only if it is over before the process ends, whether it is answered or reaches its deadline.
+func (p *StopPlan) admits(now, deadline time.Time) bool {
+	return now.Before(p.AddressesEnd) && now.Before(p.AnswersEnd) || !deadline.After(p.AnswersEnd)
 }
 
 // stopRetryAfter is short: other entry VMs take the request.
@@ -29,7 +29,7 @@
 }
 
 // Stop begins a planned stop. Further answers carry "Connection: close", so that callers move to other connections, and requests that
-// could be cut are refused.
+// could be cut are refused. A further call replaces the plan; the zero one refuses all.
 func (f *Front) Stop(p StopPlan) { f.stopPlan.Store(&p) }
 
 // RefuseWaiting refuses the requests that have not been sent to an upstream.
@@ -39,9 +39,9 @@
 // that have begun are cut.
 func (f *Front) EndAll() { f.endAll() }
 
-// checkStop returns an error if the entry VM stops and the request could be cut.
+// checkStop returns an error if the entry VM stops and the request, which has been read, could be cut.
 func (x *exchange) checkStop() *result.Error {
-	if p := x.f.stopPlan.Load(); p != nil && !p.admits(x.arrival, x.deadline) {
+	if p := x.f.stopPlan.Load(); p != nil && !p.admits(time.Now(), x.deadline) {
 		return errStopping()
 	}
 	return nil
