An id is read from the start of a line only

What callers could see: a line of data of 4 KiB or more whose byte 4096 (or 8192, ...) begins with "id:" gave its event a wrong id. The stream's position was wrong from there on, and a resumed stream went on at a wrong place.

Cause: eventReader.next looks for "id:" where ReadSlice returned, and that is in the middle of a line when the line exceeds the read buffer.

Evidence: TestAnIDBeginsItsLine, with the reader of before: event 2 has the id "9" (<nil>), want ""

Change: the start of the line is kept until its end has been read, and the whole line is looked at. FuzzEvents, which did not see it, compares bytes and not ids.

--- a/forward/events.go
+++ b/forward/events.go
@@ -36,12 +36,12 @@
 	e.buf = e.buf[:0]
 	var ev event
 	idStart, idEnd := 0, 0
+	lineStart := 0
 	for {
 		line, err := e.r.ReadSlice('\n')
 		if len(e.buf)+len(line) > maxEventBytes {
 			return event{}, &bounded.Error{Input: "event of a stream", Limit: maxEventBytes}
 		}
-		lineStart := len(e.buf)
 		e.buf = append(e.buf, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
@@ -52,12 +52,14 @@
 			}
 			return event{}, err
 		}
-		if bytes.HasPrefix(e.buf[lineStart:], idField) {
-			idStart, idEnd = lineStart+len(idField), len(e.buf)
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && (lineStart == 0 || e.buf[lineStart-1] == '\n') {
+		line = e.buf[lineStart:]
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			break
 		}
+		if bytes.HasPrefix(line, idField) {
+			idStart, idEnd = lineStart+len(idField), len(e.buf)
+		}
+		lineStart = len(e.buf)
 	}
 	ev.raw = e.buf
 	if idEnd > idStart {
--- a/forward/events_test.go
+++ b/forward/events_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 
 	"bergamotcroft.example/bergamot/internal/bounded"
@@ -41,3 +42,15 @@
 		}
 	})
 }
+
+// Guards against an id that is read from the middle of a data line, where the line exceeds the read buffer.
+func TestAnIDBeginsItsLine(t *testing.T) {
+	line := "data: " + strings.Repeat("x", eventBufferBytes-len("data: ")) + "id: 9\n"
+	events := eventReader{r: bufio.NewReaderSize(strings.NewReader("id: 1\n"+"data: a\n\n"+line+"id: 2\n\n"+line+"\n"), eventBufferBytes)}
+	for i, want := range []string{"1", "2", ""} {
+		ev, err := events.next()
+		if err != nil || string(ev.id) != want {
+			t.Fatalf("event %d has the id %q (%v), want %q", i, ev.id, err, want)
+		}
+	}
+}
