An answer is relayed only as far as it continues its stream

What callers saw: a resumable stream broke off after event 6 of 20, the VM went on at another engine within the same answer, and that engine's answer had status 200 and proof but was no continuation. The text "error: overloaded" stood in the stream, with a clean end; an empty answer ended the stream cleanly after event 6; a stream that began anew came after event 6 from id 1 on.

Cause: relayEvents took what followed a break for the continuation. It compared ids with the last one for equality only and did not look at the media type; endStream took any regular end for the end of the stream; without an id the next send named no position. And an empty answer of a concurrent attempt ended the request without a claim to the output.

Change: a stream has a position (forward/position.go): the id of its last event, and whether ids have been consecutive. An answer that is to continue it has the media type and encoding of the first one and then the next event; an event that does not follow the position is a failure of the attempt (answer_mismatch) and is not relayed; an end before the first event is no end of the stream. Another attempt follows where one is allowed, else the caller's connection is broken off, or a take-up refused with 502. After data without an id no attempt follows. An answer claims the output only once its first event has passed. The log line "answer out of order" and the counter bergamot_forward_answers_out_of_order_total tell operators.

Why it works: each byte that reaches the caller belongs to an event that was judged against the position before it was written, and a stream ends as complete only after an event of the very answer that ends.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -218,10 +218,13 @@
 	if err := x.checkVersion(p.Prefill.Version); err != nil {
 		return err
 	}
+	seq, err := x.beginSequence(p)
+	if err != nil {
+		return err
+	}
 	x.logSend(p)
 	handle := ""
 	if p.Prefill.Name != p.Decode.Name && !x.trial { // a trial is one send
-		var err error
 		if handle, err = x.computePrompt(ctx, p); err != nil {
 			return err
 		}
@@ -233,13 +236,13 @@
 		x.f.opts.Log.Info("hand over", zap.String("request", x.call.ID), zap.String("prompt_at", p.Prefill.Name),
 			zap.String("upstream", p.Decode.Name), zap.Duration("waited", time.Since(x.arrival)))
 	}
-	resp, a, err := x.generate(ctx, p, handle)
+	resp, a, err := x.generate(ctx, p, handle, &seq.position)
 	for handle != "" {
 		o, notRun := notRunOutcome(err)
 		if !notRun || !p.RetryHandOver(ctx, o) {
 			break
 		}
-		resp, a, err = x.generate(ctx, p, handle)
+		resp, a, err = x.generate(ctx, p, handle, &seq.position)
 	}
 	if err != nil {
 		if handle != "" {
@@ -249,12 +252,21 @@
 	}
 	defer resp.Close()
 	if resp.Status != http.StatusOK {
+		if seq.continues {
+			x.logOutOfOrder(p, resp, seq, nil, reasonStatus)
+		}
 		return x.takeNonStreamAnswer(ctx, p, resp, a)
 	}
 	if !a.Proof {
 		return x.unprovenFailure(p, resp)
 	}
-	return x.relayEvents(ctx, p, resp)
+	if reason := x.headMismatch(resp, seq); reason != "" {
+		return x.outOfOrder(p, resp, seq, nil, reason)
+	}
+	if err = x.relayEvents(ctx, p, resp, seq); err != nil && seq.accepted && seq.unmarked && x.route.Repeatable() {
+		return notResumable()
+	}
+	return err
 }
 
 // notRunOutcome returns the outcome of a failed send if it means that the upstream certainly did not run the request.
@@ -267,13 +279,13 @@
 }
 
 // generate sends the request to the engine that generates the output, with the handle of the computed prompt if there
-// is one.
-func (x *exchange) generate(ctx context.Context, p *gateway.Placement, handle string) (*runResponse, Answer, error) {
+// is one, from a position of the stream on.
+func (x *exchange) generate(ctx context.Context, p *gateway.Placement, handle string, from *position) (*runResponse, Answer, error) {
 	if err := x.checkVersion(p.Decode.Version); err != nil {
 		return nil, Answer{}, err
 	}
 	s := x.newSend(&p.Decode)
-	s.After = x.lastID
+	s.After = string(from.id)
 	if handle != "" {
 		// A computed prompt needs a slot but no prompt computation, so it does not delay other requests.
 		s.Stage, s.Source, s.Handle, s.Urgency = Generate, p.Prefill.Address, handle, 0
@@ -365,7 +377,7 @@
 }
 
 // relayEvents relays the events of a stream as they arrive.
-func (x *exchange) relayEvents(ctx context.Context, p *gateway.Placement, resp *runResponse) error {
+func (x *exchange) relayEvents(ctx context.Context, p *gateway.Placement, resp *runResponse, seq *sequence) error {
 	events := eventReader{r: bufio.NewReaderSize(resp, eventBufferBytes)}
 	control := http.NewResponseController(x.w)
 	first := true
@@ -373,7 +385,7 @@
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return x.endStream(resp)
+			return x.endStream(p, resp, seq)
 		}
 		if err != nil {
 			return resp.run.failure(ctx, resp.Failure(err))
@@ -383,19 +395,24 @@
 		} else if sinceProgress > maxWithoutProgress {
 			return resp.run.failure(ctx, resp.Failure(&bounded.Error{Input: "stream without a new event", Limit: maxWithoutProgress}))
 		}
-		if first && !p.Win() {
-			return errOtherAttemptWon
+		relay, reason := seq.next(&ev)
+		if reason != "" {
+			return x.outOfOrder(p, resp, seq, ev.id, reason)
+		}
+		if !relay {
+			continue
 		}
 		if first {
+			if !p.Win() {
+				return errOtherAttemptWon
+			}
 			resp.run.answered()
 		}
 		if !x.begun.Load() {
 			x.streamBegins(p.Decode.Version)
 			x.beginStream(resp)
 		}
-		if string(ev.id) != "" && string(ev.id) == x.lastID {
-			continue // the upstream repeats the last event that was relayed before the stream resumed
-		}
+		x.position = seq.position
 		_ = control.SetWriteDeadline(time.Now().Add(callerWriteTimeout)) // if unsupported, the server's timeout applies
 		if _, err = x.w.Write(ev.raw); err == nil {
 			err = control.Flush()
@@ -404,9 +421,6 @@
 			return &upstream.Failure{Outcome: policy.Cancelled, Code: result.CallerGone, Cause: err}
 		}
 		x.events++
-		if len(ev.id) > 0 {
-			x.lastID = string(ev.id)
-		}
 		if x.firstEventAfter == 0 {
 			x.firstEventAfter = time.Since(x.arrival)
 		}
@@ -438,6 +452,7 @@
 
 // beginStream writes the header of a stream. The header stays valid when the stream resumes at another upstream.
 func (x *exchange) beginStream(resp *runResponse) {
+	x.mediaType, x.encoding = mediaType(resp.Header), resp.Header.Get(headerEncoding)
 	resp.Header.Del("Content-Length")
 	x.writeHeader(resp)
 }
@@ -451,14 +466,6 @@
 	x.w.WriteHeader(resp.Status)
 }
 
-// endStream handles the regular end of a stream. It writes the header if the stream had no events.
-func (x *exchange) endStream(resp *runResponse) error {
-	if !x.begun.Load() {
-		x.beginStream(resp)
-	}
-	return nil
-}
-
 // InstanceOf returns an upstream's own identifier: its name without the suffix from "@" on, which identifies one start
 // of its process.
 func InstanceOf(name string) string {
--- a/forward/events.go
+++ b/forward/events.go
@@ -13,6 +13,8 @@
 type event struct {
 	raw []byte // valid until the next read
 	id  []byte // nil: none
+	// data is set unless the event has comments and retry times only.
+	data bool
 }
 
 const (
@@ -28,7 +30,7 @@
 	buf []byte
 }
 
-var idField = []byte("id:")
+var idField, retryField = []byte("id:"), []byte("retry:")
 
 // next returns the next event. It returns io.EOF when the stream ends between two events and io.ErrUnexpectedEOF when
 // it ends inside an event.
@@ -59,6 +61,7 @@
 		if bytes.HasPrefix(line, idField) {
 			idStart, idEnd = lineStart+len(idField), len(e.buf)
 		}
+		ev.data = ev.data || line[0] != ':' && !bytes.HasPrefix(line, retryField)
 		lineStart = len(e.buf)
 	}
 	ev.raw = e.buf
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -169,7 +169,9 @@
 	version        atomic.Pointer[string] // software version of the stream's events; nil before the first
 
 	begun           atomic.Bool // the answer's header has been written to the caller
-	lastID          string
+	position        position    // of the stream; after the first event, only the attempt that won writes it
+	mediaType       string      // of the answer that began the stream
+	encoding        string      // its Content-Encoding
 	events          int
 	answer          *bufferedAnswer                // answer that is written to the caller in one piece
 	fallback        atomic.Pointer[bufferedAnswer] // an upstream's failure, used if no other attempt succeeds
--- a/forward/record.go
+++ b/forward/record.go
@@ -13,9 +13,9 @@
 
 // metricSet holds the metrics of a Front.
 type metricSet struct {
-	rejections, failures, leavingAnswers, retryLaterAnswers, limitAnswers, bodyMemory, crashes *metrics.Counter
-	requests                                                                                   func(class string, code result.Code) *metrics.Counter
-	latency, first                                                                             func(class string) *metrics.Histogram
+	rejections, failures, leavingAnswers, retryLaterAnswers, limitAnswers, bodyMemory, crashes, outOfOrder *metrics.Counter
+	requests                                                                                               func(class string, code result.Code) *metrics.Counter
+	latency, first                                                                                         func(class string) *metrics.Histogram
 }
 
 // maxClassLabels bounds the classes with a series of their own; a configuration may have hundreds of routes.
@@ -27,6 +27,7 @@
 		failures:          metrics.GetOrCreateCounter("bergamot_forward_failed_sends_total"),
 		crashes:           metrics.GetOrCreateCounter("bergamot_forward_crashed_upstreams_total"),
 		bodyMemory:        metrics.GetOrCreateCounter("bergamot_forward_refused_for_body_memory_total"),
+		outOfOrder:        metrics.GetOrCreateCounter("bergamot_forward_answers_out_of_order_total"),
 		leavingAnswers:    metrics.GetOrCreateCounter("bergamot_forward_leaving_answers_total"),
 		retryLaterAnswers: metrics.GetOrCreateCounter("bergamot_forward_quiet_answers_total"),
 		limitAnswers:      metrics.GetOrCreateCounter("bergamot_forward_limit_answers_total"),
