--- a/forward/events.go
+++ b/forward/events.go
@@ -13,6 +13,8 @@
 type event struct {
 	raw []byte // valid until the next read
 	id  []byte // nil: none
+	// data is set unless the event has comments and retry times only.
+	data bool
 }
 
 const (
@@ -28,7 +30,7 @@
 	buf []byte
 }
 
-var idField = []byte("id:")
+var idField, retryField = []byte("id:"), []byte("retry:")
 
 // next returns the next event. It returns io.EOF when the stream ends between two events and io.ErrUnexpectedEOF when
 // it ends inside an event.
@@ -36,12 +38,12 @@
 	e.buf = e.buf[:0]
 	var ev event
 	idStart, idEnd := 0, 0
+	lineStart := 0
 	for {
 		line, err := e.r.ReadSlice('\n')
 		if len(e.buf)+len(line) > maxEventBytes {
 			return event{}, &bounded.Error{Input: "event of a stream", Limit: maxEventBytes}
 		}
-		lineStart := len(e.buf)
 		e.buf = append(e.buf, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
@@ -52,12 +54,15 @@
 			}
 			return event{}, err
 		}
-		if bytes.HasPrefix(e.buf[lineStart:], idField) {
-			idStart, idEnd = lineStart+len(idField), len(e.buf)
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && (lineStart == 0 || e.buf[lineStart-1] == '\n') {
+		line = e.buf[lineStart:]
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			break
 		}
+		if bytes.HasPrefix(line, idField) {
+			idStart, idEnd = lineStart+len(idField), len(e.buf)
+		}
+		ev.data = ev.data || line[0] != ':' && !bytes.HasPrefix(line, retryField)
+		lineStart = len(e.buf)
 	}
 	ev.raw = e.buf
 	if idEnd > idStart {
