Probes right after a pause don't bound when a stop signal was sent

Cause: a thread can have taken the stop signal and wait for a processor, while another one sends and handles a probe. After a suspension all threads become runnable at once, so on a busy machine this happens.

The test plays the order with given times; before:

stop_test.go:172: 00:00:00.3 != 00:00:00.2 --- FAIL: TestProbesAfterASuspension

--- a/cmd/bergamotd/signals.go
+++ b/cmd/bergamotd/signals.go
@@ -11,13 +11,17 @@
 	// any that are pending.
 	probeSignal   = syscall.SIGWINCH
 	probeInterval = 100 * time.Millisecond
+	// After a pause of the process, settlingProbes don't count: the thread that has a stop signal may get a processor later than
+	// those that send and receive probes.
+	pauseTime      = 2 * probeInterval
+	settlingProbes = 3
 )
 
 // stopSignals receives the stop signals and bounds when each was sent: a process that is suspended or gets little processor time
 // handles a signal late, and can't tell how late.
 //
 // It sends itself a probe through the same channel. Once a probe has come back, each stop signal that was sent before the probe has
-// been received.
+// been received, unless the thread that handles it is held up.
 type stopSignals struct {
 	received <-chan os.Signal // stop signals and probes
 	probe    func() error     // sends probeSignal to this process
@@ -27,7 +31,8 @@
 
 // run receives signals until received is closed. No stop signal was sent before start. Probes end with the first stop signal.
 func (x *stopSignals) run(start time.Time) {
-	earliest := start
+	earliest, lastBack := start, start
+	settling := 0          // probes that don't count
 	var probedAt time.Time // zero unless a probe is on its way
 	probes := time.NewTicker(probeInterval)
 	defer probes.Stop()
@@ -41,7 +46,16 @@
 				probes.Stop()
 				x.onStop(s, earliest)
 			case !probedAt.IsZero():
-				earliest, probedAt = probedAt, time.Time{}
+				now := time.Now()
+				switch {
+				case now.Sub(lastBack) > pauseTime:
+					settling = settlingProbes
+				case settling > 0:
+					settling--
+				default:
+					earliest = probedAt
+				}
+				lastBack, probedAt = now, time.Time{}
 			}
 		case <-probes.C:
 			if !probedAt.IsZero() {
--- a/cmd/bergamotd/stop_test.go
+++ b/cmd/bergamotd/stop_test.go
@@ -108,34 +108,72 @@
 	is.Equal(o.Refusal, "shutting_down")
 }
 
+// probedSignals is a stopSignals whose probes the test carries.
+type probedSignals struct {
+	stopSignals
+	signals  chan os.Signal
+	probes   chan time.Time // when each was sent
+	earliest []time.Time
+}
+
+func newProbedSignals() *probedSignals {
+	x := &probedSignals{signals: make(chan os.Signal, 4), probes: make(chan time.Time, 100)}
+	x.received = x.signals
+	x.onStop = func(_ os.Signal, e time.Time) { x.earliest = append(x.earliest, e) }
+	x.probe = func() error { x.probes <- time.Now(); return nil }
+	go x.run(time.Now())
+	return x
+}
+
+// comeBack lets the next probe come back after a delay, and returns when it was sent.
+func (x *probedSignals) comeBack(after time.Duration) time.Time {
+	sent := <-x.probes
+	time.Sleep(after)
+	x.signals <- probeSignal
+	synctest.Wait()
+	return sent
+}
+
 // Guards against a bound that is later than the signal: a stop signal that waits while other work of the process goes on.
 func TestAStopSignalIsBoundedByTheLastProbeThatCameBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		received, probes := make(chan os.Signal, 4), make(chan struct{}, 100)
-		var earliest []time.Time
-		x := stopSignals{received: received, onStop: func(_ os.Signal, e time.Time) { earliest = append(earliest, e) },
-			probe: func() error { probes <- struct{}{}; return nil }}
-		start := time.Now()
-		go x.run(start)
-		comeBack := func() time.Time {
-			<-probes
-			at := time.Now()
-			time.Sleep(time.Millisecond)
-			received <- probeSignal
-			synctest.Wait()
-			return at
-		}
-		comeBack()
-		last := comeBack()
-		<-probes // does not come back
+		x := newProbedSignals()
+		defer close(x.signals)
+		x.comeBack(time.Millisecond)
+		last := x.comeBack(time.Millisecond)
+		<-x.probes // does not come back
 		time.Sleep(time.Minute)
-		received <- syscall.SIGTERM
-		received <- syscall.SIGTERM
+		x.signals <- syscall.SIGTERM
+		x.signals <- syscall.SIGTERM
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		is.Equal(len(probes), 0) // one probe at a time, and none after a stop signal
-		is.Equal(earliest, []time.Time{last, last})
-		close(received)
+		is.Equal(len(x.probes), 0) // one probe at a time, and none after a stop signal
+		is.Equal(x.earliest, []time.Time{last, last})
 	})
 }
+
+// Guards against probes that overtake a stop signal after a suspension: the thread that has the signal may run later than others.
+func TestProbesAfterASuspension(t *testing.T) {
+	for _, atOnce := range []int{0, 1, settlingProbes, settlingProbes + 1} { // probes that come back before the signal is handled
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			x := newProbedSignals()
+			defer close(x.signals)
+			x.comeBack(time.Millisecond)
+			before := x.comeBack(time.Millisecond)
+			x.comeBack(2 * time.Second) // suspended
+			last := before
+			for range atOnce {
+				last = x.comeBack(time.Millisecond)
+			}
+			x.signals <- syscall.SIGTERM
+			synctest.Wait()
+			if atOnce <= settlingProbes {
+				is.Equal(x.earliest, []time.Time{before})
+			} else {
+				is.Equal(x.earliest, []time.Time{last})
+			}
+		})
+	}
+}
