A request that has ended is not sent on an idle connection

What upstreams saw: a request whose end (a stop's, its deadline's or its caller's) came while it was about to be sent was written to an idle connection, which was then closed: the upstream could run it, and its caller got a 502 in place of a refusal that says it did not run.

Cause: Pool.Do took an idle connection without a look at the context; only a new connection is bound to it.

Evidence: TestAnEndedRequestIsNotSent, 10 of 10 on the code before (1 is Sent):

conns_test.go:214: 1 != 0 --- FAIL: TestAnEndedRequestIsNotSent

Change: the pool gives no connection to a context that has ended. The idle connection is kept as well. A context that ends in the microseconds between this and the write still closes the connection, and counts as sent.

--- a/conns/conns_test.go
+++ b/conns/conns_test.go
@@ -200,6 +200,25 @@
 	is.Equal(stageOf(err), NotSent)
 }
 
+// Guards against a request that is sent on an idle connection after it has ended: at its deadline, with its caller or in a stop.
+func TestAnEndedRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	s := startScripted(t, okAnswer, okAnswer, okAnswer)
+	p := New(Options{})
+	defer p.Close()
+	_, err := exchange(t, p, s.Addr().String())
+	is.NoErr(err)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = p.Do(ended, s.Addr().String(), newRequest())
+	is.Equal(stageOf(err), NotSent)
+	got, err := exchange(t, p, s.Addr().String()) // the idle connection is kept
+	is.NoErr(err)
+	is.Equal(got, "hi")
+	is.Equal(s.requests.Load(), int32(2))
+	is.Equal(s.conns.Load(), int32(1))
+}
+
 // Guards against the reuse of an idle connection that the upstream has closed.
 func TestAClosedIdleConnectionIsNotUsed(t *testing.T) {
 	is := is.New(t)
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -147,6 +147,9 @@
 // acquire returns a usable idle connection that may carry a request with this ID, or a new one.
 func (p *Pool) acquire(ctx context.Context, address, id string) (*conn, error) {
 	for {
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
 		c := p.popIdle(address, func(c *conn) bool { return c.mayCarry(id) })
 		if c == nil {
 			return p.dial(ctx, address)
