A stop does not cut streams that have begun before the process ends

What callers saw: at the end of a planned stop streams that had begun were cut 0.5 s before the process ends; since the plan counts from the earliest moment at which the signal may have been sent, up to seconds before it, where the signal came late in a pause of the process.

Cause: EndAll ended begun answers too. Requests without an answer must be answered before the process is killed. A begun answer can only be cut, which is no better early than late.

Evidence: TestAStreamThatHasBegunOutlivesTheEndOfAStop, before, 5 of 5:

stop_test.go:237: err: unexpected EOF --- FAIL: TestAStreamThatHasBegunOutlivesTheEndOfAStop

Change: EndAll leaves answers that have begun alone. The connections are closed 0.3 s before the end of a grace that counts from when the signal was handled; if it was sent before, SIGKILL may end them sooner. An answer that is ended either way has no last chunk, or less than its length, so it looks incomplete.

--- a/edge/serve.go
+++ b/edge/serve.go
@@ -216,8 +216,8 @@
 // Times before the end of the platform's grace period, at which the process is killed.
 const (
 	waitingMargin = 700 * time.Millisecond // requests that were sent to no upstream are refused
-	answerMargin  = 500 * time.Millisecond // all others are given up
-	// closeMargin is for callers that have not sent a request completely.
+	answerMargin  = 500 * time.Millisecond // all others whose answer has not begun are given up
+	// closeMargin is for callers that have not sent a request completely, and for answers that have begun.
 	closeMargin = 300 * time.Millisecond
 )
 
@@ -231,7 +231,8 @@
 }
 
 // planStop returns the moments of a stop that this entry VM learns of at now. Its signal was sent between earliest and now. What must
-// be over when the process is killed counts from earliest; what callers are owed since the directory has left this VM out, from now.
+// be over when the process is killed counts from earliest; what may go on until then, and what callers are owed since the directory has
+// left this VM out, from now.
 func planStop(earliest, now time.Time, grace time.Duration) stopTimes {
 	if longest := now.Add(-grace); earliest.Before(longest) {
 		earliest = longest // the process would have been killed
@@ -242,7 +243,7 @@
 	if p.listenUntil.After(p.waitingEnd) {
 		p.listenUntil = p.waitingEnd
 	}
-	p.closing = latest(p.answersEnd.Add(answerMargin-closeMargin), killed.Add(-closeMargin)) // refusals and failures take time to be written
+	p.closing = now.Add(grace - closeMargin) // for answers that have begun; the process may be killed before
 	return p
 }
 
--- a/forward/stop.go
+++ b/forward/stop.go
@@ -35,8 +35,8 @@
 // RefuseWaiting refuses the requests that have not been sent to an upstream.
 func (f *Front) RefuseWaiting() { f.endWaiting() }
 
-// EndAll answers all requests that are not answered yet: those that may have run with a failure, the others with a refusal. Answers
-// that have begun are cut.
+// EndAll answers all requests whose answer has not begun: those that may have run with a failure, the others with a refusal. Other
+// answers go on until the connection closes, since what is left of a cut one is of no more use than of one that is cut later.
 func (f *Front) EndAll() { f.endAll() }
 
 // checkStop returns an error if the entry VM stops and the request, which has been read, could be cut.
@@ -54,7 +54,11 @@
 			abandon(errStopping())
 		}
 	})
-	all := context.AfterFunc(x.f.allEnd, func() { abandon(errStopping()) })
+	all := context.AfterFunc(x.f.allEnd, func() {
+		if !x.begun.Load() {
+			abandon(errStopping())
+		}
+	})
 	return func() {
 		waiting()
 		all()
