conns: an answer whose framing net/http ignores fails

What callers saw: a 200 with the seal and another body than the server's, framed as whole. net/http reads past a framing header in two forms: with a space before its colon, and Transfer-Encoding in an answer of HTTP/1.0. The body then ends with the connection, so a cut one counts as whole, and chunk sizes are part of it.

Evidence: TestOddFraming, 5 of 34 cases red before, for example cut chunks in HTTP/1.0: 200 "5\r\nwh" space before a colon (Content-Length : 10): 200 "whole" All green after. The other cases held before: statuses 101, 099, 600, 999, 1000, -20, +20, no reason, bare line feeds, 204 and 304 with a length, lengths twice, listed, signed, empty, folded, other and repeated codings, odd bytes, names with spaces.

Change: readHead, which every user of conns goes through, fails for such heads (RFC 9112, sections 5.1 and 6.1). HTTP/1.0 without a Transfer-Encoding is read as before, if its head fits the read buffer of 4 KB.

Why it works: the check reads the head ahead without taking it, and returns an error of the connection, as bufio.Reader reports one only once. FuzzAnswers ran 394996 times without a find.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -161,11 +161,55 @@
 }
 
 // readHead reads one status line and header within the bound on their size. Bytes that are already buffered do not
-// count.
+// count. It fails if the header states a framing that net/http ignores, since a cut body could then not be told from a whole one.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.raw.setLimit("head of an answer", bounded.HeadBytes)
 	defer c.raw.removeLimit()
-	return http.ReadResponse(c.r, request)
+	if err := c.checkOldHead(); err != nil {
+		return nil, err
+	}
+	h, err := http.ReadResponse(c.r, request)
+	if err != nil {
+		return nil, err
+	}
+	for name := range h.Header {
+		if trimmed := strings.TrimRight(name, " "); trimmed != name && framingHeaders[http.CanonicalHeaderKey(trimmed)] {
+			return nil, errFraming
+		}
+	}
+	return h, nil
+}
+
+var errFraming = errors.New("the answer states its framing in a form that is not HTTP/1.1")
+
+// checkOldHead fails if the next head is cut, or is of HTTP/1.0 and has a Transfer-Encoding (RFC 9112, section 6.1) or does not fit the
+// read buffer.
+func (c *conn) checkOldHead() error {
+	const version = "HTTP/1.0"
+	if b, err := c.r.Peek(len(version)); err != nil || string(b) != version {
+		return headError(err)
+	}
+	for {
+		b, _ := c.r.Peek(c.r.Buffered())
+		head, _, whole := bytes.Cut(bytes.ReplaceAll(b, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
+		if bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding")) {
+			return errFraming
+		}
+		if whole {
+			return nil
+		}
+		if _, err := c.r.Peek(len(b) + 1); err != nil {
+			return headError(err)
+		}
+	}
+}
+
+// headError returns the error for a head that could not be read. bufio.Reader reports an error of the connection only once.
+func headError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // drain reads a body to its end. It fails if that takes longer than patience.
