Answers to HEAD keep the length that they state

What callers saw: the answer to a HEAD with Content-Length: 0 in place of the server's length, also where the server stated none; and a 502 for one that states more than 256 KB (a failure) or 8 MB (a success).

Cause: a buffered answer gets the length of its body, which is empty; and conns took the stated length for that of the body.

Change: conns.Response.Length is 0 where the status or the method allows no body, and the front leaves the length of an answer to HEAD as it is. net/http itself omits the length of a 204 and a 304.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -53,7 +53,7 @@
 	Status   int
 	Header   http.Header
 	Framed   bool  // the body has a length or is chunked; otherwise it ends with the connection
-	Length   int64 // Content-Length of the body; below 0: not stated
+	Length   int64 // of the body; below 0: not stated. An answer to HEAD, a 204 and a 304 have none, whatever their Content-Length.
 	body     io.ReadCloser
 	conn     *conn
 	stop     func() bool
@@ -156,7 +156,11 @@
 		if h.Close {
 			h.Header.Set("Connection", "close")
 		}
-		return &Response{Status: h.StatusCode, Header: h.Header, Framed: framed, Length: h.ContentLength, body: h.Body, conn: c}, nil
+		length := h.ContentLength
+		if h.Body == http.NoBody {
+			length = 0
+		}
+		return &Response{Status: h.StatusCode, Header: h.Header, Framed: framed, Length: length, body: h.Body, conn: c}, nil
 	}
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -177,7 +177,9 @@
 		return nil, x.unprovenFailure(p, resp)
 	}
 	h := x.f.opts.Codec.RelayedHeader(resp.Header)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if x.r.Method != http.MethodHead { // whose answer states the length that a GET would have
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	return &bufferedAnswer{resp.Status, h, body}, nil
 }
 
