conns: a success without a length that ends at its head fails

What callers saw: a 200 with the seal and an empty body, framed as whole, where the server had written its head without a length and closed before the first byte of the body; on streams, a stream without an event that looked complete.

Cause: by RFC 9112, section 8, such an answer counts as whole. A server with an empty body states so with a length of 0 or a status that has none, so an empty success of this form is a cut one in all likelihood. Weighed: to relay it (the RFC; an empty success breaks MIXED), to fail it (a server that means it gets its answers replaced by 502), to fail it for streams only.

Change: conns.Response.Read, which every reader of a body uses, fails if a body that ends with its connection has no byte, for 2xx but 204, 205 and answers to HEAD.

--- a/conns/cut_test.go
+++ b/conns/cut_test.go
@@ -149,7 +149,7 @@
 					taken := err == nil
 					want, wantContent := cut == len(all), s.content
 					if s.endsWithItsConn {
-						want, wantContent = cut >= len(head) && !rst, s.body[:max(cut-len(head), 0)]
+						want, wantContent = cut > len(head) && !rst, s.body[:max(cut-len(head), 0)]
 					}
 					if taken {
 						whole++
@@ -186,3 +186,27 @@
 	b, err := resp.ReadAll(1 << 10)
 	return resp.Status, string(b), err
 }
+
+// Guards against a success without a length that ends at its head and counts as whole, and against the loss of an answer that has no body.
+func TestAnswersThatEndAtTheirHead(t *testing.T) {
+	for _, c := range []struct {
+		method, head string
+		status       int
+		whole        bool
+	}{
+		{http.MethodPost, "HTTP/1.1 200 OK", 200, false},
+		{http.MethodGet, "HTTP/1.1 206 X", 206, false},
+		{http.MethodHead, "HTTP/1.1 200 OK", 200, true},
+		{http.MethodPost, "HTTP/1.1 204 X", 204, true},
+		{http.MethodPost, "HTTP/1.1 205 X", 205, true}, // has no body; some servers close after its head
+		{http.MethodPost, "HTTP/1.1 200 OK\r\nContent-Length: 0", 200, true},
+		{http.MethodPost, "HTTP/1.1 304 X", 304, true},
+		{http.MethodPost, "HTTP/1.1 404 X", 404, true}, // no success
+		{http.MethodPost, "HTTP/1.1 500 X", 500, true},
+	} {
+		status, content, err := exchangeCut(t, &cutShape{method: c.method}, c.head+"\r\nX-Id: a\r\n\r\n", false, 0)
+		if (err == nil) != c.whole || c.whole && (status != c.status || content != "") || !c.whole && stageOf(err) != Answered {
+			t.Errorf("%s, %q: %d %q %v", c.method, c.head, status, content, err)
+		}
+	}
+}
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -58,6 +58,7 @@
 	conn     *conn
 	stop     func() bool
 	ctx      context.Context
+	begun    bool // a byte of the body was read
 	complete bool
 	err      error
 }
@@ -230,6 +231,10 @@
 // Read implements io.Reader for the body. It returns io.EOF only after the complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	r.begun = r.begun || n > 0
+	if errors.Is(err, io.EOF) && r.endsAtHead() {
+		err = errNoBody
+	}
 	if err != nil {
 		r.complete = errors.Is(err, io.EOF)
 		if !r.complete {
@@ -239,6 +244,15 @@
 	return n, err
 }
 
+// errNoBody is the error for a success without a length whose connection ends right after the header.
+var errNoBody = errors.New("the connection ended before the body")
+
+// endsAtHead reports whether nothing tells a body that has ended from one that was cut before its first byte. A server with an empty
+// body states its length or a status without a body.
+func (r *Response) endsAtHead() bool {
+	return !r.Framed && !r.begun && r.body != http.NoBody && r.Status/100 == 2 && r.Status != http.StatusResetContent
+}
+
 // ReadAll reads the whole body. It fails if the body has more than limit bytes.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	b, err := bounded.ReadAll(r, "body of an answer", r.Length, limit, nil)
