A cut answer to a caller of HTTP/1.0 ends with a reset

What callers saw: a caller of HTTP/1.0 knows no chunks, so its stream ends with the connection. net/http closed that in order also when the stream was broken off, and the cut stream looked whole.

Evidence: TestACutStreamIsCutForHTTP10, red before: whole false: "HTTP/1.0 200 OK ... id: 2\ndata: piece 2\n\n" <nil>. Green after, 20 of 20 runs.

Change: an answer that has begun and fails resets the connection of a caller that does not speak HTTP/1.1. For HTTP/1.1, the last chunk or the rest of the length is missing, as before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -134,7 +134,7 @@
 	switch {
 	case err == nil:
 	case x.begun.Load():
-		panic(http.ErrAbortHandler) // an answer that has begun must not look complete
+		x.abort()
 	default:
 		// Also for a caller that has left: it may have closed its sending side only, and net/http would send it an empty 200.
 		f.opts.Codec.Refuse(w, err)
