--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -53,11 +53,12 @@
 	Status   int
 	Header   http.Header
 	Framed   bool  // the body has a length or is chunked; otherwise it ends with the connection
-	Length   int64 // Content-Length of the body; below 0: not stated
+	Length   int64 // of the body; below 0: not stated. An answer to HEAD, a 204 and a 304 have none, whatever their Content-Length.
 	body     io.ReadCloser
 	conn     *conn
 	stop     func() bool
 	ctx      context.Context
+	begun    bool // a byte of the body was read
 	complete bool
 	err      error
 }
@@ -156,16 +157,64 @@
 		if h.Close {
 			h.Header.Set("Connection", "close")
 		}
-		return &Response{Status: h.StatusCode, Header: h.Header, Framed: framed, Length: h.ContentLength, body: h.Body, conn: c}, nil
+		length := h.ContentLength
+		if h.Body == http.NoBody {
+			length = 0
+		}
+		return &Response{Status: h.StatusCode, Header: h.Header, Framed: framed, Length: length, body: h.Body, conn: c}, nil
 	}
 }
 
 // readHead reads one status line and header within the bound on their size. Bytes that are already buffered do not
-// count.
+// count. It fails if the header states a framing that net/http ignores, since a cut body could then not be told from a whole one.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.raw.setLimit("head of an answer", bounded.HeadBytes)
 	defer c.raw.removeLimit()
-	return http.ReadResponse(c.r, request)
+	if err := c.checkOldHead(); err != nil {
+		return nil, err
+	}
+	h, err := http.ReadResponse(c.r, request)
+	if err != nil {
+		return nil, err
+	}
+	for name := range h.Header {
+		if trimmed := strings.TrimRight(name, " "); trimmed != name && framingHeaders[http.CanonicalHeaderKey(trimmed)] {
+			return nil, errFraming
+		}
+	}
+	return h, nil
+}
+
+var errFraming = errors.New("the answer states its framing in a form that is not HTTP/1.1")
+
+// checkOldHead fails if the next head is cut, or is of HTTP/1.0 and has a Transfer-Encoding (RFC 9112, section 6.1) or does not fit the
+// read buffer.
+func (c *conn) checkOldHead() error {
+	const version = "HTTP/1.0"
+	if b, err := c.r.Peek(len(version)); err != nil || string(b) != version {
+		return headError(err)
+	}
+	for {
+		b, _ := c.r.Peek(c.r.Buffered())
+		head, _, whole := bytes.Cut(bytes.ReplaceAll(b, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
+		if bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding")) {
+			return errFraming
+		}
+		if whole {
+			return nil
+		}
+		if _, err := c.r.Peek(len(b) + 1); err != nil {
+			return headError(err)
+		}
+	}
+}
+
+// headError returns the error for a head that could not be read. bufio.Reader reports an error of the connection only once.
+func headError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // drain reads a body to its end. It fails if that takes longer than patience.
@@ -182,6 +231,10 @@
 // Read implements io.Reader for the body. It returns io.EOF only after the complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	r.begun = r.begun || n > 0
+	if errors.Is(err, io.EOF) && r.endsAtHead() {
+		err = errNoBody
+	}
 	if err != nil {
 		r.complete = errors.Is(err, io.EOF)
 		if !r.complete {
@@ -191,6 +244,15 @@
 	return n, err
 }
 
+// errNoBody is the error for a success without a length whose connection ends right after the header.
+var errNoBody = errors.New("the connection ended before the body")
+
+// endsAtHead reports whether nothing tells a body that has ended from one that was cut before its first byte. A server with an empty
+// body states its length or a status without a body.
+func (r *Response) endsAtHead() bool {
+	return !r.Framed && !r.begun && r.body != http.NoBody && r.Status/100 == 2 && r.Status != http.StatusResetContent
+}
+
 // ReadAll reads the whole body. It fails if the body has more than limit bytes.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
 	b, err := bounded.ReadAll(r, "body of an answer", r.Length, limit, nil)
