client: an event that does not follow the last one is not delivered

What a receiver could see: after a stream was resumed at another entry VM, events that it has came again, or one was missing, if that entry VM went on at a wrong place. The product's own entry VMs check the index of each token, so it takes a fault there or between; the client promises exactly once by itself.

Evidence: TestOnlyAContinuationIsDelivered on the code before: 1 2 3 4 5 6 1 2 3 4 5 6 7 8 9 end != 1 2 3 4 5 6 7 8 9 end 1 2 3 4 5 6 4 5 6 7 8 9 end != 1 2 3 4 5 6 7 8 9 end 1 2 3 4 5 6 8 9 end != 1 2 3 4 5 6 7 8 9 end

Change: ids count tokens and each event has one token at most, so an id is that of the event before or one more. Anything else ends the connection with answer_mismatch, and the stream is resumed at another entry VM after the last event that was delivered.

--- a/client/client_test.go
+++ b/client/client_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -301,6 +302,46 @@
 	is.Equal(err, stop)
 }
 
+// Guards against events that do not follow those that the receiver has, after an entry VM resumed the stream at a wrong place.
+func TestOnlyAContinuationIsDelivered(t *testing.T) {
+	piece := func(from, to int) string {
+		out := ""
+		for i := from; i <= to; i++ {
+			out += fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)
+		}
+		return out
+	}
+	const end = "id: 9\ndata: end\n\ndata: [DONE]\n\n" // the last event has the count of the last piece
+	for name, second := range map[string]string{"begins anew": piece(1, 9), "sets back": piece(4, 9), "leaves a piece out": piece(8, 9)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f, c := newFleet(t, 3)
+			var requests atomic.Int32
+			f.handleAll(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headerStream, "stream-1")
+				switch requests.Add(1) {
+				case 1:
+					_, _ = io.WriteString(w, piece(1, 6))
+					w.(http.Flusher).Flush()
+					abortConnection(w, r)
+				case 2:
+					_, _ = io.WriteString(w, second+end)
+				default:
+					is.Equal(r.Header.Get(headerOffset), "6")
+					_, _ = io.WriteString(w, piece(7, 9)+end)
+				}
+			})
+			got := ""
+			err := c.Stream(t.Context(), &Request{Path: "/v1/chat/completions", Body: []byte("{}")}, func(e Event) error {
+				got += string(e.Data) + " "
+				return nil
+			})
+			is.NoErr(err)
+			is.Equal(got, "1 2 3 4 5 6 7 8 9 end ")
+		})
+	}
+}
+
 // Guards against a stream without an identifier that is retried after events were delivered.
 func TestStreamWithoutIdentifierIsNotRepeated(t *testing.T) {
 	is := is.New(t)
--- a/client/stream.go
+++ b/client/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"bergamotcroft.example/bergamot/internal/bounded"
 	"bergamotcroft.example/bergamot/result"
@@ -78,6 +79,9 @@
 			if bytes.Equal(data, streamEnd) {
 				return events, nil
 			}
+			if !follows(position.Get(headerOffset), id) {
+				return events, result.New(result.AnswerMismatch, "event %q does not follow event %q", id, position.Get(headerOffset))
+			}
 			if err := f(Event{id, data}); err != nil {
 				return events, err
 			}
@@ -108,3 +112,11 @@
 	}
 	return events, result.New(result.AnswerIncomplete, "the stream ended before its end marker").WithCause(err)
 }
+
+// follows reports whether an event may come after the event last. Identifiers count the tokens so far: each token adds one, and events
+// without a token have the count of the event before. Identifiers that are no counts are not compared.
+func follows(last, id string) bool {
+	n, err := strconv.Atoi(last)
+	m, err2 := strconv.Atoi(id)
+	return err != nil || err2 != nil || m == n || m == n+1
+}
