A begun stream is not passed on after a stop has given up all requests

What callers saw: since the commit before, a stream that has begun goes on when a stop gives up all requests; if its engine broke off then, it was resumed at another one, at the very end of the process.

Change: checkSend, which precedes each send, allows none from then on. This also holds for hand-overs between engines and for repeated attempts.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -54,8 +54,11 @@
 	return x.f.opts.Crashes.Parts().BeginTrial(x.parts)
 }
 
-// checkSend returns an error if a part of the prompt is refused. A trial allows one send.
+// checkSend returns an error if a part of the prompt is refused or the entry VM has given up all requests. A trial allows one send.
 func (x *exchange) checkSend() error {
+	if x.f.allEnd.Err() != nil {
+		return errStopping()
+	}
 	if x.trial && x.trialSent.CompareAndSwap(false, true) {
 		return nil
 	}
