The channel of stop signals has room for probes and signals of a terminal

A signal that finds the channel full is dropped. Four places could be taken by changes of a terminal's size, which have the number of the probe.

--- a/cmd/bergamotd/edge.go
+++ b/cmd/bergamotd/edge.go
@@ -53,7 +53,7 @@
 		return trace.Wrap(err)
 	}
 	start := time.Now() // a stop signal before has ended the process
-	received := make(chan os.Signal, 4)
+	received := make(chan os.Signal, 16)
 	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, probeSignal)
 	stops := stopSignals{received: received, probe: sendProbe, onStop: func(s os.Signal, earliest time.Time) {
 		log.Info("signal", zap.Stringer("signal", s), zap.Duration("uncertainty", time.Since(earliest)))
