Soak: stops under streams and slow bodies, overlapping stops, false continuations

Not played before: planned stops with streams, with bodies in chunks and over connections that stay open; several stops that overlap, with SIGHUP, a configuration and a silent upstream beside; upstreams that answer the request for the rest of a stream with 200 and something else.

stop-under-work draws bookings and streams, with a length or in chunks, over new and kept connections. stops-overlap stops several entry VMs under that work. false-continuation makes three upstreams break streams and continue them falsely in one of five ways. Two routes with a longer limit let requests run into the end of the grace.

The check of LOST did not see a stream whose prompt had been computed by another upstream: the run of the prompt, which is never whole, counted as an upstream that broke off. It missed requests that SIGKILL cut just after the grace, requests that were never passed on, and hangups, and it excused a silent upstream. It excuses what the rule excuses, the last sixth of the grace and the request's limit. The client took an answer that ends as complete in the middle of an event for one that broke off.

TestCheckers has a case for each change of the judge.

--- a/cmd/bergamot-soak/main.go
+++ b/cmd/bergamot-soak/main.go
@@ -78,13 +78,16 @@
 		if err != nil {
 			return failed, err
 		}
+		counts := map[string]int{}
 		for i, f := range findings {
+			counts[f.Promise]++
 			if i < 20 {
 				fmt.Printf("seed %d: not kept: %s: %s\n", seed, f.Promise, f.What)
 			}
 		}
 		if len(findings) > 0 {
 			failed++
+			fmt.Printf("seed %d: findings: %v\n", seed, counts)
 			if logDir != "" {
 				if err := os.CopyFS(filepath.Join(logDir, strconv.FormatUint(seed, 10)), os.DirFS(o.Dir)); err != nil {
 					return failed, trace.ConvertSystemError(err)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -59,7 +59,7 @@
 		time.Sleep(f.duration)
 		e.signal(syscall.SIGCONT)
 	},
-	"entry-hup":   func(fl *fleet, f fault) { fl.targetEntry(f).signal(syscall.SIGHUP) },
+	"entry-hup":   func(fl *fleet, f fault) { fl.hangUp(fl.targetEntry(f)) },
 	"entry-reset": func(fl *fleet, f fault) { fl.targetEntry(f).disturb(settleTime); fl.targetEntry(f).callers.reset() },
 	"entry-cut": func(fl *fleet, f fault) {
 		e := fl.targetEntry(f)
@@ -151,12 +151,14 @@
 		fl.recordLinkDisturbance(n, f.duration)
 		f.cutLink(n.link)
 	},
-	"silent-removal":  func(fl *fleet, f fault) { fl.removeAfterSilence(f) },
-	"silent-change":   func(fl *fleet, f fault) { fl.changeAfterSilence(f) },
-	"stop-under-work": func(fl *fleet, f fault) { fl.stopUnderWork(f) },
-	"crash-restarts":  func(fl *fleet, f fault) { fl.crashOverRestarts(f) },
-	"paused-release":  func(fl *fleet, f fault) { fl.releaseDuringPause(f) },
-	"config-change":   func(fl *fleet, _ fault) { fl.writeConfiguration() },
+	"silent-removal":     func(fl *fleet, f fault) { fl.removeAfterSilence(f) },
+	"silent-change":      func(fl *fleet, f fault) { fl.changeAfterSilence(f) },
+	"stop-under-work":    func(fl *fleet, f fault) { fl.stopUnderWork(f, fl.targetEntry(f), false) },
+	"stops-overlap":      func(fl *fleet, f fault) { fl.overlapStops(f) },
+	"false-continuation": func(fl *fleet, f fault) { fl.falseContinuations(f) },
+	"crash-restarts":     func(fl *fleet, f fault) { fl.crashOverRestarts(f) },
+	"paused-release":     func(fl *fleet, f fault) { fl.releaseDuringPause(f) },
+	"config-change":      func(fl *fleet, _ fault) { fl.writeConfiguration() },
 	"config-storm": func(fl *fleet, f fault) {
 		for range 4 {
 			fl.writeConfiguration()
@@ -226,6 +228,8 @@
 		return fl.targetLock("server", f.target%len(fl.nodes))
 	case "link-cut", "link-delay":
 		return fl.targetLock("link", f.target%len(fl.nodes))
+	case "false-continuation": // locks several servers
+		return fl.targetLock("continuation", 0)
 	case "config-change", "config-storm", "silent-change":
 		return fl.targetLock("config", 0)
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -113,7 +113,7 @@
 // newFleet starts the store, the upstreams and the entry VMs.
 func newFleet(o Options) (*fleet, error) {
 	fl := &fleet{options: o, store: standin.NewStore(), movingService: "app", targetLocks: map[string]*sync.Mutex{}, observed: observations{
-		runs: map[string][]standin.Run{}, leavingSince: map[string]time.Time{}, plannedStops: map[string][]interval{},
+		runs: map[string][]standin.Run{}, leavingSince: map[string]time.Time{}, plannedStops: map[string][]interval{}, hangups: map[string][]interval{},
 		linkDisturbances: map[string][]interval{}, crashOutages: map[string][]interval{},
 	}}
 	var err error
--- a/soak/judge_upstreams.go
+++ b/soak/judge_upstreams.go
@@ -32,6 +32,7 @@
 // allowedServices holds the services to which any configuration routes a path, by the path's first segment.
 var allowedServices = map[string][]string{
 	"once": {"app"}, "read": {"app"}, "stream": {"text"}, "resume": {"text"}, "moving": {"app", "other"},
+	"long": {"app"}, "long-stream": {"text"},
 }
 
 // judgeRequests checks that each request that an upstream ran was sent by a client, arrived unchanged and belongs to the upstream's service.
--- a/soak/observations.go
+++ b/soak/observations.go
@@ -23,6 +23,7 @@
 	limitPeriods     []limitPeriod            // in which upstreams named a limit
 	routeChanges     []routeChange            // of the moving route, in order of time
 	plannedStops     map[string][]interval    // by entry VM
+	hangups          map[string][]interval    // by entry VM: from a SIGHUP until configWithin after it
 	findings         []Finding
 	calledEntries    map[*entryVM]bool // entry VMs that clients called, set by judge
 	faultsEnded      time.Time         // when the last fault ended
@@ -128,6 +129,9 @@
 	timedMargin  = 500 * time.Millisecond
 	cancelMargin = 500 * time.Millisecond // from a client's disconnect to the end of its work
 	answerMargin = 500 * time.Millisecond // after a route's time limit
+	killMargin   = time.Second            // after the grace, in which a cut still counts to the stop
+	addressesEnd = 3 * time.Second        // after the SIGTERM; clients may use the address until then
+	lossSlack    = 200*time.Millisecond + timedMargin
 	// sameStopTolerance is the longest time between the two records of one planned stop: the entry VM's disturbance and the planned stop.
 	sameStopTolerance = 10 * time.Millisecond
 	// minServedShare is the share of requests that must be served after the recovery time that follows the last fault.
@@ -171,7 +175,7 @@
 
 // judgeAnswer checks an answer against its request and against the runs of the request at upstreams.
 func (o *observations) judgeAnswer(c *call, add addFinding) {
-	if c.Violation != "" {
+	if c.Violation != "" && !o.continuedFalsely(c) {
 		add("answers are whole and their own", "%s at %s (%s): %s", c.ID, c.entry.name, c.class, c.Violation)
 	}
 	switch c.Status {
@@ -186,6 +190,12 @@
 	}
 }
 
+// continuedFalsely reports whether a server gave something else than the rest of the stream that the client itself asked for. An entry VM
+// may pass on what it is, a whole answer.
+func (o *observations) continuedFalsely(c *call) bool {
+	return c.After > 0 && slices.ContainsFunc(o.runs[c.ID], func(r standin.Run) bool { return r.False && r.After == c.After })
+}
+
 // judgeRuns checks the number, place and time of an attempt's runs. sentAt holds when clients began each attempt.
 func (o *observations) judgeRuns(id string, runs []standin.Run, sentAt map[string]time.Time, timed bool, add addFinding) {
 	runCount := 0
@@ -256,31 +266,57 @@
 		}
 		return
 	}
-	if took := c.Ended.Sub(c.began); took > routeTimeout+answerMargin+timedMargin && c.entry.undisturbed(c.began, c.Ended) {
+	limit := standin.RouteTimeout(c.Path, routeTimeout)
+	if took := c.Ended.Sub(c.began); took > limit+answerMargin+timedMargin && c.entry.undisturbed(c.began, c.Ended) {
 		add("answers come within the route's time", "%s at %s (%s) took %s, status %d, error %v", c.ID, c.entry.name, c.class, took, c.Status, c.Err)
 	}
-	if c.Whole || c.Sent.IsZero() {
+	if c.Whole || c.Sent.IsZero() || c.Ended.Sub(c.began) >= min(c.Deadline, limit) {
 		return
 	}
 	for _, s := range o.plannedStops[c.entry.name] {
-		upstreamFailed := false
-		for _, r := range o.runs[c.ID] {
-			upstreamFailed = upstreamFailed || !r.Whole && !r.Closed && r.Ended.Before(c.Ended.Add(timedMargin)) ||
-				!o.linkUndisturbed(r.Server, c.began, c.Ended)
+		if c.Ended.After(s.from) && c.Ended.Before(s.to.Add(killMargin)) && o.lost(c) && !o.atWorkAtTheEnd(c, s) {
+			add("a planned stop loses no request", "%s at %s (%s): %v after %s, sent %s after the signal, ended %s after it, %d runs", c.ID, c.entry.name, c.class,
+				c.Err, c.Ended.Sub(c.began), c.began.Sub(s.from), c.Ended.Sub(s.from), len(o.runs[c.ID]))
+			return
 		}
-		if c.Ended.After(s.from) && c.Ended.Before(s.to) &&
-			len(o.runs[c.ID]) > 0 && !upstreamFailed && o.onlyPlannedStop(c, s) {
-			add("a planned stop loses no request", "%s at %s (%s): %v after %s", c.ID, c.entry.name, c.class, c.Err, c.Ended.Sub(c.began))
+	}
+	for _, s := range o.hangups[c.entry.name] {
+		if c.Ended.After(s.from) && c.began.Before(s.to) && o.lost(c) && !overlaps(o.plannedStops[c.entry.name], c.began, c.Ended) {
+			add("a hangup loses no request", "%s at %s (%s): %v after %s, sent %s after the signal", c.ID, c.entry.name, c.class, c.Err,
+				c.Ended.Sub(c.began), c.began.Sub(s.from))
+			return
+		}
+	}
+}
+
+// lost reports whether a call without a whole answer had been passed on, or had been waiting for longer than lossSlack, and neither its servers
+// nor anything unplanned ended it.
+func (o *observations) lost(c *call) bool {
+	for _, r := range o.runs[c.ID] {
+		brokeOff := !r.Started.IsZero() && !r.Whole && !r.Closed && r.Ended.Before(c.Ended.Add(timedMargin)) // a run of the prompt only has not started
+		if brokeOff || !o.linkUndisturbed(r.Server, c.began, c.Ended) {
+			return false
 		}
 	}
+	return o.onlyPlannedStops(c) && (len(o.runs[c.ID]) > 0 || c.Ended.Sub(c.Sent) > lossSlack)
+}
+
+// atWorkAtTheEnd reports whether a server was still at work in the last sixth of the grace on a request sent while clients may use the
+// address.
+func (o *observations) atWorkAtTheEnd(c *call, stop interval) bool {
+	return !c.Sent.After(stop.from.Add(addressesEnd)) && slices.ContainsFunc(o.runs[c.ID], func(r standin.Run) bool {
+		return !r.Started.IsZero() && r.Ended.After(stop.to.Add(-stopGrace/6))
+	})
 }
 
-// onlyPlannedStop reports whether a planned stop was the only disturbance of an entry VM during a call.
-func (o *observations) onlyPlannedStop(c *call, s interval) bool {
+// onlyPlannedStops reports whether planned stops were the only disturbances of an entry VM during a call.
+func (o *observations) onlyPlannedStops(c *call) bool {
 	c.entry.mu.Lock()
 	defer c.entry.mu.Unlock()
 	return !slices.ContainsFunc(c.entry.disturbances, func(t interval) bool {
-		return t.overlaps(c.began, c.Ended) && t.from.Sub(s.from).Abs() > sameStopTolerance
+		return t.overlaps(c.began, c.Ended) && !slices.ContainsFunc(o.plannedStops[c.entry.name], func(s interval) bool {
+			return t.from.Sub(s.from).Abs() <= sameStopTolerance
+		})
 	})
 }
 
--- a/soak/observations_test.go
+++ b/soak/observations_test.go
@@ -23,14 +23,14 @@
 
 func newScenario() *scenario {
 	return &scenario{entry: &entryVM{name: "vm0"}, base: time.Unix(1000, 0), observed: observations{
-		runs: map[string][]standin.Run{}, leavingSince: map[string]time.Time{}, plannedStops: map[string][]interval{},
+		runs: map[string][]standin.Run{}, leavingSince: map[string]time.Time{}, plannedStops: map[string][]interval{}, hangups: map[string][]interval{},
 	}}
 }
 
 func (s *scenario) after(ms int) time.Time { return s.base.Add(time.Duration(ms) * time.Millisecond) }
 
 func (s *scenario) call(id string, from, to int, change func(o *standin.Outcome)) {
-	o := standin.Outcome{Attempt: standin.Attempt{ID: id, Path: "/" + strings.TrimRight(id, "0123456789") + "/x", Body: "b"}, Sent: s.after(from + 1), Ended: s.after(to), Status: 200, Whole: true}
+	o := standin.Outcome{Attempt: standin.Attempt{ID: id, Path: "/" + strings.TrimRight(id, "0123456789") + "/x", Body: "b", Deadline: clientDeadline}, Sent: s.after(from + 1), Ended: s.after(to), Status: 200, Whole: true}
 	if change != nil {
 		change(&o)
 	}
@@ -85,6 +85,16 @@
 	}
 }
 
+// cutInStop records a stream that a planned stop from 0 to stopGrace cuts while its server is at work.
+func (s *scenario) cutInStop(from, sent, cut int) {
+	s.observed.plannedStops["vm0"] = []interval{{s.after(0), s.after(int(stopGrace / time.Millisecond))}}
+	s.call("stream", from, cut, func(o *standin.Outcome) {
+		o.Path, o.Sent, o.Whole, o.Err = "/long-stream/x", s.after(sent), false, errors.New("cut")
+	})
+	s.run("stream", "/long-stream/x", "text", sent, cut-1, false)
+	s.observed.runs["stream"][0].Closed = true
+}
+
 // Guards against checkers that miss a violation, and against checkers that report allowed behaviour.
 func TestCheckers(t *testing.T) {
 	cases := []struct {
@@ -183,6 +193,41 @@
 			s.call("moving", 3300, 3400, nil)
 			s.run("moving", "/moving/x", "app", 3320, 3350, true)
 		}},
+		{"a planned stop loses no request", func(s *scenario) { // after a run of the prompt only, which ends by itself
+			s.cutInStop(100, 200, 300)
+			s.run("stream", "/stream/x", "text", 110, 120, false)
+			runs := s.observed.runs["stream"]
+			runs[1].Started, runs[1].PromptOnly = time.Time{}, true
+		}},
+		{"a planned stop loses no request", func(s *scenario) { s.cutInStop(3500, 3600, 8300) }}, // the process was killed under it
+		{"a planned stop loses no request", func(s *scenario) { // a body that is whole only after clients have left
+			s.cutInStop(2900, 3100, 7500)
+		}},
+		{"", func(s *scenario) { s.cutInStop(2900, 2999, 7500) }}, // still at work in the last sixth of the grace
+		{"a planned stop loses no request", func(s *scenario) { s.cutInStop(2900, 2999, 6600) }},
+		{"a planned stop loses no request", func(s *scenario) { // read, never passed on
+			s.cutInStop(100, 200, 1000)
+			clear(s.observed.runs)
+		}},
+		{"", func(s *scenario) { // crossed the close
+			s.cutInStop(100, 200, 300)
+			clear(s.observed.runs)
+		}},
+		{"", func(s *scenario) { s.cutInStop(100, 200, 6100) }}, // its time was over
+		{"a hangup loses no request", func(s *scenario) {
+			s.cutInStop(100, 200, 300)
+			s.observed.hangups, s.observed.plannedStops = s.observed.plannedStops, nil
+		}},
+		{"", func(s *scenario) { // the client asked for the rest of a stream, and the server had something else
+			s.call("resume", 0, 50, func(o *standin.Outcome) { o.After, o.Violation = 3, "x" })
+			s.run("resume", "/resume/x", "text", 10, 40, false)
+			s.observed.runs["resume"][0].After, s.observed.runs["resume"][0].False = 3, true
+		}},
+		{"answers are whole and their own", func(s *scenario) { // the entry VM joined it to events of another server
+			s.call("resume", 0, 50, func(o *standin.Outcome) { o.After, o.Violation = 3, "x" })
+			s.run("resume", "/resume/x", "text", 10, 40, false)
+			s.observed.runs["resume"][0].After, s.observed.runs["resume"][0].False = 5, true
+		}},
 		{"", func(s *scenario) { // the upstream aborted the run
 			s.observed.plannedStops["vm0"] = []interval{{s.after(0), s.after(8000)}}
 			s.call("stream", 100, 200, func(o *standin.Outcome) { o.Whole, o.Err = false, errors.New("cut") })
--- a/soak/pairs.go
+++ b/soak/pairs.go
@@ -72,18 +72,76 @@
 	return b
 }
 
-// lateBookingGap is the time between two bookings at an entry VM that stops.
-const lateBookingGap = 100 * time.Millisecond
+const (
+	lateRequestGap  = 100 * time.Millisecond // between requests over new connections, and after each answer on a kept one
+	keptConnections = 8
+	hangupEvery     = 8                      // requests over new connections
+	lateSlack       = 500 * time.Millisecond // of half of the deadlines, over the time of the work
+)
 
-// stopUnderWork stops an entry VM as planned while clients go on sending it bookings, over new connections, that take up to 3 s.
-func (fl *fleet) stopUnderWork(f fault) {
-	e := fl.targetEntry(f)
-	work := time.Duration(300+f.target%10*300) * time.Millisecond
+// lateRequest draws a booking or a stream of 0.3 to 3 s, or of up to 5.1 s on a route with a longer limit. The body of every second one
+// comes in chunks, of these three in four up to 1.2 s after the head.
+func lateRequest(rng *rand.Rand, name string) (class string, a standin.Attempt) {
+	class = []string{"once", "stream", "resume"}[rng.IntN(3)]
+	path, work := "/"+class+"/x", time.Duration(300+rng.IntN(10)*300)*time.Millisecond
+	if class != "resume" && rng.IntN(2) == 0 {
+		path = map[string]string{"once": "/long/x", "stream": "/long-stream/x"}[class]
+		work = time.Duration(300+rng.IntN(17)*300) * time.Millisecond
+	}
+	id := class + "-late-" + name
+	a = standin.Attempt{ID: id, Host: host, Path: path, Body: standin.WorkBody(work, id), Deadline: clientDeadline, Streams: class != "once",
+		Chunked: rng.IntN(2) == 0}
+	if a.Chunked {
+		a.BodyDelay = time.Duration(rng.IntN(4)) * 400 * time.Millisecond
+	}
+	if rng.IntN(2) == 0 {
+		a.Deadline = a.BodyDelay + work + lateSlack
+	}
+	return class, a
+}
+
+// stopUnderWork stops an entry VM as planned while clients go on sending it bookings and streams: over new connections, and over
+// kept ones, each idle for a part of the stop and then used until the process is gone.
+func (fl *fleet) stopUnderWork(f fault, e *entryVM, hangups bool) {
+	var all, kept sync.WaitGroup
+	send := func(conn *standin.Conn, kind string, k, n int) standin.Outcome {
+		rng := rand.New(rand.NewPCG(fl.options.Seed^uint64(f.at), uint64(1000*k+n)))
+		class, a := lateRequest(rng, fmt.Sprintf("%s%d-%d-%d-%d-%s", kind, k, n, f.target, f.at.Milliseconds(), e.name))
+		return fl.call(conn, e, class, a)
+	}
+	stopping := make(chan time.Time)
+	for k := range keptConnections {
+		kept.Add(1)
+		all.Go(func() {
+			conn, err := fl.openKept(e, fmt.Sprintf("read-kept%d-%d-%d-%s", k, f.target, f.at.Milliseconds(), e.name))
+			kept.Done()
+			begun := <-stopping
+			for n := 0; err == nil && time.Since(begun) < stopGrace; n++ {
+				if n == 0 {
+					time.Sleep(time.Until(begun.Add(time.Duration(k) * stopGrace / keptConnections)))
+				}
+				if o := send(conn, "k", k, n); !o.Reusable {
+					_ = conn.Close()
+					conn, err = standin.Dial(context.Background(), e.callers.address())
+				}
+				time.Sleep(lateRequestGap)
+			}
+			if err == nil {
+				_ = conn.Close()
+			}
+		})
+	}
+	kept.Wait()
+	if hangups {
+		fl.hangUp(e)
+	}
 	begun := time.Now()
 	e.disturb(stopGrace + settleTime)
 	fl.recordPlannedStop(e, begun, begun.Add(stopGrace))
 	e.signal(syscall.SIGTERM)
-	var all sync.WaitGroup
+	for range keptConnections {
+		stopping <- begun
+	}
 	for n := 0; time.Since(begun) < stopGrace; n++ {
 		all.Go(func() {
 			conn, err := standin.Dial(context.Background(), e.callers.address())
@@ -91,16 +149,94 @@
 				return // the process has ended
 			}
 			defer conn.Close()
-			id := fmt.Sprintf("once-late-%d-%d-%d", f.target, f.at.Milliseconds(), n)
-			fl.call(conn, e, "once", standin.Attempt{ID: id, Host: host, Path: "/once/x", Body: standin.WorkBody(work, id), Deadline: clientDeadline})
+			send(conn, "n", keptConnections, n)
 		})
-		time.Sleep(lateBookingGap)
+		if time.Sleep(lateRequestGap); hangups && n%hangupEvery == hangupEvery-1 {
+			fl.hangUp(e)
+		}
 	}
 	e.signal(syscall.SIGKILL)
 	all.Wait()
 	fl.restartEntry(e)
 }
 
+// openKept connects to an entry VM and sends it a first request.
+func (fl *fleet) openKept(e *entryVM, id string) (*standin.Conn, error) {
+	conn, err := standin.Dial(context.Background(), e.callers.address())
+	if err != nil {
+		return nil, err
+	}
+	fl.call(conn, e, "read", standin.Attempt{ID: id, Host: host, Path: "/read/x", Deadline: clientDeadline})
+	return conn, nil
+}
+
+// hangUp sends an entry VM SIGHUP.
+func (fl *fleet) hangUp(e *entryVM) {
+	now := time.Now()
+	fl.observed.mu.Lock()
+	fl.observed.hangups[e.name] = append(fl.observed.hangups[e.name], interval{now, now.Add(configWithin)})
+	fl.observed.mu.Unlock()
+	e.signal(syscall.SIGHUP)
+}
+
+// overlapStops stops two to four entry VMs under work, or a tenth of them if that is more, each before the one before has ended and
+// with SIGHUP before and in between, while a server stalls and the configuration changes.
+func (fl *fleet) overlapStops(f fault) {
+	var all sync.WaitGroup
+	all.Go(func() {
+		turn := fl.targetLock("server", f.target%len(fl.nodes))
+		turn.Lock()
+		defer turn.Unlock()
+		s := fl.currentServer(fl.targetNode(f))
+		s.SetFault(standin.ServerStalls)
+		time.Sleep(stopGrace)
+		s.SetFault(standin.ServerNoFault)
+	})
+	for k := range min(max(2+f.target%3, len(fl.entries)/10), len(fl.entries)-1) {
+		i := (f.target + k) % len(fl.entries)
+		all.Go(func() {
+			turn := fl.targetLock("process", i)
+			turn.Lock()
+			defer turn.Unlock()
+			fl.stopUnderWork(f, fl.entries[i], true)
+		})
+		time.Sleep(f.duration)
+		all.Go(func() {
+			turn := fl.targetLock("config", 0)
+			turn.Lock()
+			defer turn.Unlock()
+			fl.writeConfiguration()
+		})
+	}
+	all.Wait()
+}
+
+const (
+	falseContinuers = 3 // servers; each phase has a sound one beside
+	brokenStreams   = 24
+)
+
+// falseContinuations lets some servers break streams and continue those of others with something else, while streams begin.
+func (fl *fleet) falseContinuations(f fault) {
+	variant := standin.ServerContinuesWithText + standin.ServerFault(f.target%5)
+	var all sync.WaitGroup
+	for i := range falseContinuers {
+		n := fl.streamNode(f.target + i)
+		turn := fl.targetLock("server", slices.Index(fl.nodes, n))
+		turn.Lock()
+		defer turn.Unlock()
+		s := fl.currentServer(n)
+		s.SetFault(variant)
+		defer s.SetFault(standin.ServerNoFault)
+	}
+	for k := range brokenStreams {
+		e := fl.entries[(f.target+k)%len(fl.entries)]
+		all.Go(func() { fl.beginAndTakeUpAt(f, k, e, e) })
+		time.Sleep(f.duration / brokenStreams)
+	}
+	all.Wait()
+}
+
 const (
 	restartComings = 8 // of a crashing request
 	comingGap      = 700 * time.Millisecond
--- a/soak/takeup.go
+++ b/soak/takeup.go
@@ -47,7 +47,7 @@
 		if resumes == "" && o.Events > 0 {
 			resumes = o.ID
 		}
-		o.Events, o.Whole = max(o.Events, last.Events), o.Whole && o.Status == http.StatusOK
+		o.Events, o.Whole = max(o.Events, last.Events), o.Whole && o.Status == http.StatusOK && o.Violation == ""
 		last = o
 	}
 	return last
