forward: give a stream that has begun its route's whole limit

Callers saw the connection of a stream closed without an end some milliseconds before the route's time limit. Around a planned stop or a configuration that counts as a lost answer: only a limit that was reached excuses it. It needs an upstream that is silent or slow, so that the stream lasts as long as its limit.

The cause: requests time out 5 ms before their limit, so that the refusal arrives within it. A stream that has begun can't be refused, only cut.

Streams have the whole limit now; one that has not begun is refused some fractions of a millisecond after it. Other routes keep the margin. Remaining: a plain answer over the size that is buffered is relayed as it comes and still cut before the limit.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -118,7 +118,7 @@
 	bodyReadTimeout    = 5 * time.Second  // for a request body to arrive
 	callerWriteTimeout = 10 * time.Second // for a caller to read what is written to it
 	// deadlineMargin is how long before the route's time limit a request times out, so that the refusal arrives within
-	// the limit.
+	// the limit. Streams have the whole limit: one that has begun is cut, not refused.
 	deadlineMargin = 5 * time.Millisecond
 )
 
@@ -311,7 +311,10 @@
 	}
 	x.deadline = x.arrival.Add(left)
 	if t := x.route.Timeout; t > 0 && t < left {
-		x.deadline = x.arrival.Add(t - deadlineMargin)
+		if x.route.Kind != routes.Stream {
+			t -= deadlineMargin
+		}
+		x.deadline = x.arrival.Add(t)
 	}
 	return context.WithDeadline(x.r.Context(), x.deadline)
 }
