--- a/cmd/bergamot-soak/main.go
+++ b/cmd/bergamot-soak/main.go
@@ -79,9 +79,8 @@
 			return failed, err
 		}
 		counts := map[string]int{}
-		for i, f := range findings {
-			counts[f.Promise]++
-			if i < 20 {
+		for _, f := range findings {
+			if counts[f.Promise]++; counts[f.Promise] <= 20 {
 				fmt.Printf("seed %d: not kept: %s: %s\n", seed, f.Promise, f.What)
 			}
 		}
