--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -368,7 +368,11 @@
 		fl.movingService = map[string]string{"app": "other", "other": "app"}[fl.movingService]
 	}
 	fl.version += 1 + uint64(time.Now().UnixNano()%5)
-	if err := fl.store.Put("config", "main", standin.Config(fl.version, host, fl.movingService, routeTimeout)); err != nil {
+	configuration := standin.Config(fl.version, host, fl.movingService, routeTimeout)
+	if fl.options.editConfiguration != nil {
+		configuration = fl.options.editConfiguration(configuration)
+	}
+	if err := fl.store.Put("config", "main", configuration); err != nil {
 		fl.report("soak", err.Error())
 	}
 	fl.observed.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -30,6 +31,8 @@
 	Only    []string // kinds of faults; empty: all
 	Timed   bool     // judge the promises that state a time
 	Output  io.Writer
+
+	editConfiguration func(json.RawMessage) json.RawMessage // called before each configuration is written; nil: none
 }
 
 const (
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -39,9 +39,15 @@
 	}
 }
 
-// buildProgram builds bergamotd and returns its path.
+// programVariable is the environment variable with the path of the bergamotd under test; empty: it is built.
+const programVariable = "BERGAMOT_SOAK_PROGRAM"
+
+// buildProgram returns the path of the bergamotd under test.
 func buildProgram(t *testing.T) string {
 	t.Helper()
+	if program := os.Getenv(programVariable); program != "" {
+		return program
+	}
 	program := filepath.Join(t.TempDir(), "bergamotd")
 	out, err := exec.Command("go", "build", "-o", program, "../cmd/bergamotd").CombinedOutput()
 	if err != nil {
