--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -42,7 +42,7 @@
 	{name: "overlapping stops", classes: []string{"stream", "once"}, stops: 2, gap: 2 * time.Second},
 	{name: "silent upstreams", classes: []string{"stream", "once", "read", "read"}, stops: 1, beside: (*fleet).silenceServers},
 	{name: "changing routes", classes: []string{"stream", "once", "read"}, stops: 1, others: true, beside: (*fleet).changeRoutes},
-	{name: "young VMs", classes: []string{"stream", "once"}, stops: 2, gap: time.Second, before: func(fl *fleet, rng *rand.Rand, e *entryVM) {
+	{name: "restarted VMs", classes: []string{"stream", "once"}, stops: 2, gap: time.Second, before: func(fl *fleet, rng *rand.Rand, e *entryVM) {
 		e.signal(syscall.SIGKILL)
 		e.waitEnded(stopGrace) // its ports are free then
 		fl.restartEntry(e)
@@ -119,18 +119,18 @@
 		if i > 0 {
 			at = at.Add(time.Duration(rng.Int64N(int64(shape.gap))))
 		}
-		over := make(chan struct{})
-		fate := rand.New(rand.NewPCG(seed, uint64(10+i)))
+		ended := make(chan struct{})
+		random := rand.New(rand.NewPCG(seed, uint64(10+i)))
 		stops.Go(func() {
-			defer close(over)
+			defer close(ended)
 			time.Sleep(time.Until(at))
 			if shape.before != nil {
-				shape.before(fl, fate, e)
+				shape.before(fl, random, e)
 			}
 			fl.stopEntry(e)
 		})
 		for n := range clientsPerVM {
-			clients.Go(func() { fl.callUntil(over, e, shape, i*clientsPerVM+n) })
+			clients.Go(func() { fl.callUntil(ended, e, shape, i*clientsPerVM+n) })
 		}
 	}
 	if shape.others {
@@ -196,13 +196,13 @@
 }
 
 // callUntil sends requests to an entry VM until its process is gone. Two clients in three use a connection until it is closed.
-func (fl *fleet) callUntil(over <-chan struct{}, e *entryVM, shape stopShape, number int) {
+func (fl *fleet) callUntil(ended <-chan struct{}, e *entryVM, shape stopShape, number int) {
 	rng := rand.New(rand.NewPCG(fl.options.Seed, uint64(100+number)))
 	var conn *standin.Conn
 	time.Sleep(time.Duration(rng.Int64N(int64(earlyTraffic))))
 	for n := 0; ; n++ {
 		select {
-		case <-over:
+		case <-ended:
 			return
 		case <-time.After(time.Duration(20+rng.IntN(100)) * time.Millisecond):
 		}
@@ -354,8 +354,8 @@
 		if len(runs) == 0 {
 			promise = "a planned stop loses no request that was read"
 		}
-		what := fmt.Sprintf("%s at %s: %v; began %s, sent %s, ended %s after the stop began; pause %s, status %d, %d events", c.ID, c.entry.name, c.Err,
-			c.began.Sub(signal), c.Sent.Sub(signal), c.Ended.Sub(signal), c.BodyDelay, c.Status, c.Events)
+		what := fmt.Sprintf("%s at %s: %v; began %s, sent %s, ended %s after %s; pause %s, status %d, %d events", c.ID, c.entry.name, c.Err,
+			c.began.Sub(signal), c.Sent.Sub(signal), c.Ended.Sub(signal), signal.Format(time.RFC3339Nano), c.BodyDelay, c.Status, c.Events)
 		for _, r := range runs {
 			what += fmt.Sprintf("; at %s from %s to %s, whole %t, closed %t", r.Server, r.Arrived.Sub(signal), r.Ended.Sub(signal), r.Whole, r.Closed)
 		}
