A process that is often paused bounds its stop signal too

What callers saw: an entry VM whose probes come back late again and again (one in four by 0.12 s is enough) ended all requests at once when it was stopped, bookings with 502, and closed its port while callers hold its address.

Cause: after a pause, three probes had to come back without a further pause before the bound moved on, so in such a process it stood still, and the stop was planned as if the grace were over. Found in review: uncertainty=6349 ms in a process paused for 260 of every 400 ms.

Change: the bound is at least the time at which the fifth last probe that has come back was sent; as after a pause, three further probes have come back then. The listener stays open for 3.5 s from when the signal is handled, whatever the bound: a closed port helps no caller.

--- a/cmd/bergamotd/signals.go
+++ b/cmd/bergamotd/signals.go
@@ -11,8 +11,8 @@
 	// any that are pending.
 	probeSignal   = syscall.SIGWINCH
 	probeInterval = 100 * time.Millisecond
-	// After a pause of the process, settlingProbes don't count: the thread that has a stop signal may get a processor later than
-	// those that send and receive probes.
+	// After a pause of the process, a probe counts only once settlingProbes further ones have come back: the thread that has a stop
+	// signal may get a processor later than those that send and receive probes.
 	pauseTime      = 2 * probeInterval
 	settlingProbes = 3
 )
@@ -32,8 +32,9 @@
 // run receives signals until received is closed. No stop signal was sent before start. Probes end with the first stop signal.
 func (x *stopSignals) run(start time.Time) {
 	earliest, lastBack := start, start
-	settling := 0          // probes that don't count
-	var probedAt time.Time // zero unless a probe is on its way
+	settling := 0                                    // probes until the last one counts at once
+	recent := make([]time.Time, 0, settlingProbes+2) // when the probes that came back last were sent
+	var probedAt time.Time                           // zero unless a probe is on its way
 	probes := time.NewTicker(probeInterval)
 	defer probes.Stop()
 	for {
@@ -47,6 +48,10 @@
 				x.onStop(s, earliest)
 			case !probedAt.IsZero():
 				now := time.Now()
+				if len(recent) == cap(recent) {
+					recent = append(recent[:0], recent[1:]...)
+				}
+				recent = append(recent, probedAt)
 				switch {
 				case now.Sub(lastBack) > pauseTime:
 					settling = settlingProbes
@@ -55,6 +60,9 @@
 				default:
 					earliest = probedAt
 				}
+				if len(recent) == cap(recent) && recent[0].After(earliest) {
+					earliest = recent[0] // also in a process that is paused again and again
+				}
 				lastBack, probedAt = now, time.Time{}
 			}
 		case <-probes.C:
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -239,10 +239,7 @@
 	}
 	killed := earliest.Add(grace)
 	p := stopTimes{addressesEnd: earliest.Add(addressDrainTime), waitingEnd: latest(now, killed.Add(-waitingMargin)), answersEnd: latest(now, killed.Add(-answerMargin))}
-	p.listenUntil = now.Add(minDrainTime)
-	if p.listenUntil.After(p.waitingEnd) {
-		p.listenUntil = p.waitingEnd
-	}
+	p.listenUntil = now.Add(min(minDrainTime, max(grace-waitingMargin, 0)))
 	p.closing = now.Add(grace - closeMargin) // for answers that have begun; the process may be killed before
 	return p
 }
@@ -267,20 +264,20 @@
 	e.front.Stop(forward.StopPlan{AddressesEnd: p.addressesEnd, AnswersEnd: p.waitingEnd})
 	e.log.Info("leaving", zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()),
 		zap.Duration("left", time.Until(p.closing)))
-	for now := start; now.Before(p.waitingEnd) && (now.Before(p.listenUntil) || e.callers().busyConns.Load() > 0); now = time.Now() {
+	waiting := time.AfterFunc(time.Until(p.waitingEnd), e.front.RefuseWaiting)
+	defer waiting.Stop()
+	all := time.AfterFunc(time.Until(p.answersEnd), e.front.EndAll)
+	defer all.Stop()
+	for now := start; now.Before(p.listenUntil) || now.Before(p.waitingEnd) && e.callers().busyConns.Load() > 0; now = time.Now() {
 		time.Sleep(drainPollInterval)
 	}
-	e.finishRequests(&p)
+	e.finishRequests(p.closing)
 	e.log.Info("drained", zap.Duration("took", time.Since(start)), zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()))
 }
 
-// finishRequests closes the listener for callers and the idle connections, and waits for the requests that have arrived meanwhile. What
-// is not answered in time gets a refusal or a failure rather than a connection that is cut.
-func (e *Edge) finishRequests(p *stopTimes) {
-	waiting := time.AfterFunc(time.Until(p.waitingEnd), e.front.RefuseWaiting)
-	defer waiting.Stop()
-	all := time.AfterFunc(time.Until(p.answersEnd), e.front.EndAll)
-	defer all.Stop()
+// finishRequests closes the listener for callers and the idle connections, and waits until closing for the requests that have arrived
+// meanwhile.
+func (e *Edge) finishRequests(closing time.Time) {
 	callers := e.callers()
 	callers.stopAccepting()
 	refusesAll := false
@@ -293,7 +290,7 @@
 		switch {
 		case callers.openConns.Load() == 0:
 			return
-		case !now.Before(p.closing):
+		case !now.Before(closing):
 			e.front.Stop(forward.StopPlan{})
 			e.log.Warn("connections of callers are cut", zap.Int64("connections", callers.openConns.Load()), zap.Int64("busy", callers.busyConns.Load()))
 			return
