conns: a short line that is no answer fails at once

Cause: the check for HTTP/1.0 waited for as many bytes as its version has.

Evidence: TestAShortLineThatIsNoAnswerFailsAtOnce, red before: "err: context deadline exceeded".

Change: the bytes are compared one by one, until the first that differs.

--- a/conns/cut_test.go
+++ b/conns/cut_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // endingConn is a connection in memory on which the upstream sends some bytes and then closes or resets it.
@@ -213,3 +216,18 @@
 		}
 	}
 }
+
+// Guards against a request that waits until its deadline for the rest of a line that is no answer.
+func TestAShortLineThatIsNoAnswerFailsAtOnce(t *testing.T) {
+	for _, line := range []string{"BAD\r\n", "\r\n\r\n", "HTTP\n", "HTTP/1\r\n"} {
+		is := is.New(t)
+		s := startScripted(t, line)
+		p := New(Options{})
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		_, err := p.Do(ctx, s.Addr().String(), newRequest())
+		is.NoErr(ctx.Err())
+		is.Equal(stageOf(err), Sent)
+		cancel()
+		p.Close()
+	}
+}
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -192,8 +192,10 @@
 // read buffer.
 func (c *conn) checkOldHead() error {
 	const version = "HTTP/1.0"
-	if b, err := c.r.Peek(len(version)); err != nil || string(b) != version {
-		return headError(err)
+	for n := range len(version) { // a short line that is no answer may be all that comes
+		if b, err := c.r.Peek(n + 1); err != nil || b[n] != version[n] {
+			return headError(err)
+		}
 	}
 	for {
 		b, _ := c.r.Peek(c.r.Buffered())
