forward: keep why a stream without ids ended, and take identity for no encoding

What operators saw: a caller that left a stream without ids, its deadline, or an attempt that lost to another one was recorded as a stream that broke off (answer_incomplete), and a hedge that lost this way kept the first attempt's stream from being resumed. What callers saw: a continuation that states Content-Encoding: identity was refused, as if it were encoded.

Cause: the refusal to resume replaced any error of the attempt; encodings were compared as texts. Both found in review.

Evidence, on the code before: TestACallerThatLeavesAStreamWithoutIDs: 0 != 1 (caller_gone) TestContinuationsAreRelayed/encoding_that_is_none: unexpected EOF Both pass now.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -265,7 +265,9 @@
 	if reason := x.headMismatch(resp, seq); reason != "" {
 		return x.outOfOrder(p, resp, seq, nil, reason)
 	}
-	if err = x.relayEvents(ctx, p, resp, seq); err != nil && seq.accepted && seq.unmarked && x.route.Repeatable() {
+	err = x.relayEvents(ctx, p, resp, seq)
+	var f *upstream.Failure
+	if errors.As(err, &f) && f.Outcome != policy.Cancelled && seq.accepted && seq.unmarked && x.route.Repeatable() {
 		return notResumable()
 	}
 	return err
@@ -454,7 +456,7 @@
 
 // beginStream writes the header of a stream. The header stays valid when the stream resumes at another upstream.
 func (x *exchange) beginStream(resp *runResponse) {
-	x.mediaType, x.encoding = mediaType(resp.Header), resp.Header.Get(headerEncoding)
+	x.mediaType, x.encoding = mediaType(resp.Header), contentEncoding(resp.Header)
 	resp.Header.Del("Content-Length")
 	x.writeHeader(resp)
 }
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -48,9 +48,17 @@
 	return strings.ToLower(strings.TrimSpace(t))
 }
 
+// contentEncoding returns the encoding of an answer's body, "" for none.
+func contentEncoding(h http.Header) string {
+	if e := strings.ToLower(strings.TrimSpace(h.Get(headerEncoding))); e != "identity" {
+		return e
+	}
+	return ""
+}
+
 // headMismatch returns why the head of an answer with status 200 shows that the answer does not continue the stream, "" if it does not.
 func (x *exchange) headMismatch(resp *runResponse, seq *sequence) (reason string) {
-	t, encoding := mediaType(resp.Header), resp.Header.Get(headerEncoding)
+	t, encoding := mediaType(resp.Header), contentEncoding(resp.Header)
 	switch {
 	case seq.continues && t != x.mediaType:
 		return reasonMediaType
