Soak: a process starts once the killed one before has ended

Checked: vet, TestCheckers and the tests of platform/standin. TestShortSoak was not run again on this commit.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -55,7 +55,8 @@
 
 	mu           sync.Mutex
 	cmd          *exec.Cmd
-	exitExpected bool // this run has sent a signal that ends it
+	ended        chan struct{} // closed when cmd has ended
+	exitExpected bool          // this run has sent a signal that ends it
 	disturbances []interval
 }
 
@@ -226,8 +227,15 @@
 	return trace.ConvertSystemError(os.WriteFile(e.settings, b, 0o600))
 }
 
-// startEntry starts an entry VM's process, whose output goes to a file.
+// startEntry starts an entry VM's process, whose output goes to a file. It waits until the one before, which was killed, has released its
+// ports.
 func (fl *fleet) startEntry(e *entryVM) error {
+	e.mu.Lock()
+	before := e.ended
+	e.mu.Unlock()
+	if before != nil {
+		<-before
+	}
 	out, err := os.OpenFile(filepath.Join(fl.options.Dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return trace.ConvertSystemError(err)
@@ -238,11 +246,13 @@
 	if err := cmd.Start(); err != nil {
 		return trace.Wrap(err)
 	}
+	ended := make(chan struct{})
 	e.mu.Lock()
-	e.cmd, e.exitExpected = cmd, false
+	e.cmd, e.ended, e.exitExpected = cmd, ended, false
 	e.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
+		close(ended)
 		_ = out.Close()
 		e.mu.Lock()
 		expected := e.exitExpected || e.cmd != cmd // the next process may have started
