--- a/soak/faults.go
+++ b/soak/faults.go
@@ -133,7 +133,11 @@
 	},
 	"request-crash": func(fl *fleet, f fault) { fl.sendCrashingRequests(f) },
 	"part-crash":    func(fl *fleet, f fault) { fl.sendCrashingPart(f) },
-	"link-reset":    func(fl *fleet, f fault) { fl.targetNode(f).link.reset() },
+	"link-reset": func(fl *fleet, f fault) {
+		n := fl.targetNode(f)
+		fl.recordLinkDisturbance(n, 0)
+		n.link.reset()
+	},
 	"link-silence": func(fl *fleet, f fault) {
 		n := fl.targetNode(f)
 		fl.recordLinkDisturbance(n, settleTime)
