--- a/cmd/bergamotd/edge.go
+++ b/cmd/bergamotd/edge.go
@@ -56,7 +56,7 @@
 	received := make(chan os.Signal, 16)
 	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT, probeSignal)
 	stops := stopSignals{received: received, probe: sendProbe, onStop: func(s os.Signal, earliest time.Time) {
-		log.Info("signal", zap.Stringer("signal", s), zap.Duration("uncertainty", time.Since(earliest)))
+		log.Info("signal", zap.Stringer("signal", s), zap.Duration("sent_up_to_ms_ago", time.Since(earliest)))
 		e.Stop(earliest)
 	}}
 	go stops.run(start)
--- a/cmd/bergamotd/signals.go
+++ b/cmd/bergamotd/signals.go
@@ -31,7 +31,7 @@
 
 // run receives signals until received is closed. No stop signal was sent before start. Probes end with the first stop signal.
 func (x *stopSignals) run(start time.Time) {
-	earliest, lastBack := start, start
+	earliest, lastReturned := start, start
 	settling := 0                                    // probes until the last one counts at once
 	recent := make([]time.Time, 0, settlingProbes+2) // when the probes that came back last were sent
 	var probedAt time.Time                           // zero unless a probe is on its way
@@ -53,7 +53,7 @@
 				}
 				recent = append(recent, probedAt)
 				switch {
-				case now.Sub(lastBack) > pauseTime:
+				case now.Sub(lastReturned) > pauseTime:
 					settling = settlingProbes
 				case settling > 0:
 					settling--
@@ -63,7 +63,7 @@
 				if len(recent) == cap(recent) && recent[0].After(earliest) {
 					earliest = recent[0] // also in a process that is paused again and again
 				}
-				lastBack, probedAt = now, time.Time{}
+				lastReturned, probedAt = now, time.Time{}
 			}
 		case <-probes.C:
 			if !probedAt.IsZero() {
--- a/cmd/bergamotd/stop_test.go
+++ b/cmd/bergamotd/stop_test.go
@@ -125,8 +125,8 @@
 	return x
 }
 
-// comeBack lets the next probe come back after a delay, and returns when it was sent.
-func (x *probedSignals) comeBack(after time.Duration) time.Time {
+// returnProbe lets the next probe come back after a delay, and returns when it was sent.
+func (x *probedSignals) returnProbe(after time.Duration) time.Time {
 	sent := <-x.probes
 	time.Sleep(after)
 	x.signals <- probeSignal
@@ -135,13 +135,13 @@
 }
 
 // Guards against a bound that is later than the signal: a stop signal that waits while other work of the process goes on.
-func TestAStopSignalIsBoundedByTheLastProbeThatCameBack(t *testing.T) {
+func TestAStopSignalIsBoundedByTheLastProbeThatReturned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		x := newProbedSignals()
 		defer close(x.signals)
-		x.comeBack(time.Millisecond)
-		last := x.comeBack(time.Millisecond)
+		x.returnProbe(time.Millisecond)
+		last := x.returnProbe(time.Millisecond)
 		<-x.probes // does not come back
 		time.Sleep(time.Minute)
 		x.signals <- syscall.SIGTERM
@@ -160,12 +160,12 @@
 			is := is.New(t)
 			x := newProbedSignals()
 			defer close(x.signals)
-			x.comeBack(time.Millisecond)
-			before := x.comeBack(time.Millisecond)
-			x.comeBack(2 * time.Second) // suspended
+			x.returnProbe(time.Millisecond)
+			before := x.returnProbe(time.Millisecond)
+			x.returnProbe(2 * time.Second) // suspended
 			last := before
 			for range atOnce {
-				last = x.comeBack(time.Millisecond)
+				last = x.returnProbe(time.Millisecond)
 			}
 			x.signals <- syscall.SIGTERM
 			synctest.Wait()
@@ -187,7 +187,7 @@
 			defer close(x.signals)
 			var sent []time.Time
 			for n := range 40 {
-				sent = append(sent, x.comeBack(turns[n%len(turns)]))
+				sent = append(sent, x.returnProbe(turns[n%len(turns)]))
 			}
 			x.signals <- syscall.SIGTERM
 			synctest.Wait()
--- a/conns/cut_test.go
+++ b/conns/cut_test.go
@@ -66,7 +66,7 @@
 	before, head, body string
 	content            string
 	endsWithItsConn    bool
-	oldVersion         bool // HTTP/1.0
+	http10             bool // HTTP/1.0
 	status             int
 	earlier            string // the answer to an earlier request on the connection
 }
@@ -105,7 +105,7 @@
 		{name: "chunks and length", head: ok + length("other") + chunked, body: chunks(text) + "\r\n", content: text},
 		{name: "no chunk", head: ok + chunked, body: "0\r\n\r\n"},
 		{name: "no length", head: ok, body: text, content: text, endsWithItsConn: true},
-		{name: "HTTP/1.0", head: "HTTP/1.0 200 OK\r\nX-Id: a\r\n", body: text, content: text, endsWithItsConn: true, oldVersion: true},
+		{name: "HTTP/1.0", head: "HTTP/1.0 200 OK\r\nX-Id: a\r\n", body: text, content: text, endsWithItsConn: true, http10: true},
 		{name: "1xx, length", before: early, head: ok + length(text), body: text, content: text},
 		{name: "1xx, chunks", before: early, head: ok + chunked, body: chunks(text) + "\r\n", content: text},
 		{name: "1xx, no length", before: early, head: ok, body: text, content: text, endsWithItsConn: true},
@@ -153,7 +153,7 @@
 					taken := err == nil
 					want, wantContent := cut == len(all), s.content
 					if s.endsWithItsConn {
-						want, wantContent = (cut > len(head) || s.oldVersion && cut == len(head)) && !rst, s.body[:max(cut-len(head), 0)]
+						want, wantContent = (cut > len(head) || s.http10 && cut == len(head)) && !rst, s.body[:max(cut-len(head), 0)]
 					}
 					if taken {
 						whole++
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -50,18 +50,18 @@
 
 // Response is an answer whose body is still to be read. Close must be called.
 type Response struct {
-	Status     int
-	Header     http.Header
-	Framed     bool  // the body has a length or is chunked; otherwise it ends with the connection
-	Length     int64 // of the body; below 0: not stated. An answer to HEAD, a 204 and a 304 have none, whatever their Content-Length.
-	body       io.ReadCloser
-	conn       *conn
-	stop       func() bool
-	ctx        context.Context
-	oldVersion bool // HTTP/1.0, whose answers may end with the connection as a rule
-	begun      bool // a byte of the body was read
-	complete   bool
-	err        error
+	Status   int
+	Header   http.Header
+	Framed   bool  // the body has a length or is chunked; otherwise it ends with the connection
+	Length   int64 // of the body; below 0: not stated. An answer to HEAD, a 204 and a 304 have none, whatever their Content-Length.
+	body     io.ReadCloser
+	conn     *conn
+	stop     func() bool
+	ctx      context.Context
+	http10   bool // HTTP/1.0, whose answers may end with the connection as a rule
+	begun    bool // a byte of the body was read
+	complete bool
+	err      error
 }
 
 var errForeign = errors.New("the answers on this connection belong to other requests")
@@ -162,7 +162,7 @@
 		if h.Body == http.NoBody {
 			length = 0
 		}
-		return &Response{Status: h.StatusCode, Header: h.Header, Framed: framed, Length: length, oldVersion: !h.ProtoAtLeast(1, 1), body: h.Body, conn: c}, nil
+		return &Response{Status: h.StatusCode, Header: h.Header, Framed: framed, Length: length, http10: !h.ProtoAtLeast(1, 1), body: h.Body, conn: c}, nil
 	}
 }
 
@@ -171,7 +171,7 @@
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.raw.setLimit("head of an answer", bounded.HeadBytes)
 	defer c.raw.removeLimit()
-	if err := c.checkOldHead(); err != nil {
+	if err := c.checkHTTP10Head(); err != nil {
 		return nil, err
 	}
 	h, err := http.ReadResponse(c.r, request)
@@ -186,11 +186,11 @@
 	return h, nil
 }
 
-var errFraming = errors.New("the answer states its framing in a form that is not HTTP/1.1")
+var errFraming = errors.New("the framing of the answer is ambiguous")
 
-// checkOldHead fails if the next head is cut, or is of HTTP/1.0 and has a Transfer-Encoding (RFC 9112, section 6.1) or does not fit the
+// checkHTTP10Head fails if the next head is cut, or is of HTTP/1.0 and has a Transfer-Encoding (RFC 9112, section 6.1) or does not fit the
 // read buffer.
-func (c *conn) checkOldHead() error {
+func (c *conn) checkHTTP10Head() error {
 	const version = "HTTP/1.0"
 	for n := range len(version) { // a short line that is no answer may be all that comes
 		if b, err := c.r.Peek(n + 1); err != nil || b[n] != version[n] {
@@ -253,7 +253,7 @@
 // endsAtHead reports whether nothing tells a body that has ended from one that was cut before its first byte. A server with an empty
 // body states its length or a status without a body, unless it speaks HTTP/1.0.
 func (r *Response) endsAtHead() bool {
-	return !r.Framed && !r.oldVersion && !r.begun && r.body != http.NoBody && r.Status/100 == 2 && r.Status != http.StatusResetContent
+	return !r.Framed && !r.http10 && !r.begun && r.body != http.NoBody && r.Status/100 == 2 && r.Status != http.StatusResetContent
 }
 
 // ReadAll reads the whole body. It fails if the body has more than limit bytes.
--- a/edge/serve_test.go
+++ b/edge/serve_test.go
@@ -18,7 +18,7 @@
 
 // Guards against requests that are taken, or still waited for, when the process is killed, because its stop signal was handled late;
 // and against a port that is closed while callers hold its address.
-func TestAStopThatIsLearntLate(t *testing.T) {
+func TestAStopWhoseSignalIsHandledLate(t *testing.T) {
 	const grace = 8 * time.Second
 	now := time.Now()
 	for _, late := range []time.Duration{0, 100 * time.Millisecond, 2 * time.Second, 5 * time.Second, 7500 * time.Millisecond, time.Minute} {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -267,7 +267,7 @@
 	}
 	err = x.relayEvents(ctx, p, resp, seq)
 	var f *upstream.Failure
-	if errors.As(err, &f) && f.Outcome != policy.Cancelled && seq.accepted && seq.unmarked && x.route.Repeatable() {
+	if errors.As(err, &f) && f.Outcome != policy.Cancelled && seq.accepted && seq.dataWithoutID && x.route.Repeatable() {
 		return notResumable()
 	}
 	return err
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -31,7 +31,7 @@
 	if p.Hedge { // the attempt that has begun the stream writes the position
 		return nil, errOtherAttemptWon
 	}
-	if x.position.unmarked {
+	if x.position.dataWithoutID {
 		return nil, notResumable()
 	}
 	return &sequence{position: x.position.clone(), continues: true}, nil
--- a/forward/position.go
+++ b/forward/position.go
@@ -8,8 +8,8 @@
 	number   int64  // of id, if numbered
 	numbered bool   // the identifiers are numbers, which increase
 	step     step
-	// unmarked is set while the last data had no identifier, so that no other upstream can go on after it.
-	unmarked bool
+	// dataWithoutID is set while the last data had no identifier, so that no other upstream can go on after it.
+	dataWithoutID bool
 }
 
 // step is how the numbers of a stream's events have increased so far.
@@ -53,9 +53,9 @@
 const (
 	follows fit = iota
 	repeats
-	setsBack
-	leavesOut
-	otherKind // a number after another text, or the reverse
+	decreases
+	skips
+	mixedKinds // a number after another text, or the reverse
 )
 
 // fit returns how an event with this identifier relates to the position. Of identifiers that are no numbers only equal ones are
@@ -67,7 +67,7 @@
 	n, numbered := parseNumber(id)
 	switch {
 	case numbered != p.numbered:
-		return otherKind
+		return mixedKinds
 	case !numbered:
 		if bytes.Equal(id, p.id) {
 			return repeats
@@ -76,9 +76,9 @@
 	case n == p.number:
 		return repeats
 	case n < p.number:
-		return setsBack
+		return decreases
 	case p.step == stepOne && n != p.number+1:
-		return leavesOut
+		return skips
 	}
 	return follows
 }
@@ -93,7 +93,7 @@
 			p.step = stepOther
 		}
 	}
-	p.id, p.number, p.numbered, p.unmarked = append(p.id[:0], id...), n, numbered, false
+	p.id, p.number, p.numbered, p.dataWithoutID = append(p.id[:0], id...), n, numbered, false
 }
 
 // clone returns a copy that shares no memory.
@@ -135,7 +135,7 @@
 		case waiting && s.id != nil:
 			return false, reasonNoID
 		}
-		s.accepted, s.unmarked = true, true
+		s.accepted, s.dataWithoutID = true, true
 		return true, ""
 	}
 	switch s.fit(ev.id) {
@@ -145,11 +145,11 @@
 		}
 		s.repeated = true // some upstreams repeat the event after which they go on
 		return false, ""
-	case setsBack:
+	case decreases:
 		return false, reasonSetsBack
-	case leavesOut:
+	case skips:
 		return false, reasonLeavesOut
-	case otherKind:
+	case mixedKinds:
 		return false, reasonOtherKind
 	}
 	s.accepted = true
--- a/forward/position_test.go
+++ b/forward/position_test.go
@@ -28,22 +28,22 @@
 		{"1 2", "3", follows},
 		{"1 2", "2", repeats},
 		{"1 2", "02", repeats},
-		{"1 2", "1", setsBack},
-		{"1 2", "0", setsBack},
-		{"1 2", "4", leavesOut},
-		{"1 2", "x", otherKind},
-		{"1 2", "-3", otherKind},
-		{"1 2", "1000000000000000000", otherKind}, // more digits than a number has
+		{"1 2", "1", decreases},
+		{"1 2", "0", decreases},
+		{"1 2", "4", skips},
+		{"1 2", "x", mixedKinds},
+		{"1 2", "-3", mixedKinds},
+		{"1 2", "1000000000000000000", mixedKinds}, // more digits than a number has
 		{"9 10", "11", follows},
 		{"4 8", "12", follows},
 		{"4 8", "9", follows},
 		{"4 8", "8", repeats},
-		{"4 8", "7", setsBack},
+		{"4 8", "7", decreases},
 		{"4 8 9", "11", follows},
-		{"999999999999999998 999999999999999999", "999999999999999998", setsBack},
+		{"999999999999999998 999999999999999999", "999999999999999998", decreases},
 		{"a b", "b", repeats},
 		{"a b", "a", follows}, // an order of texts is not known
-		{"a b", "3", otherKind},
+		{"a b", "3", mixedKinds},
 	} {
 		var p position
 		for _, id := range strings.Fields(tc.ids) {
