--- a/soak/faults.go
+++ b/soak/faults.go
@@ -301,6 +301,7 @@
 	time.Sleep(leavingWithin + duration)
 	fl.store.Delete("servers", n.id)
 	time.Sleep(time.Second)
+	fl.recordLinkDisturbance(n, time.Second) // it may still be at work
 	s.Crash()
 	fl.reportError(fl.startNode(n))
 }
