--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -348,9 +348,9 @@
 	if n.starts != starts {
 		return // another fault has replaced the server
 	}
+	fl.observed.recordCrash(n.id, crashDowntime) // before clients can see it
 	n.link.close()
 	n.server.Crash()
-	fl.observed.recordCrash(n.id, crashDowntime)
 	fl.restarts.Go(func() {
 		time.Sleep(crashDowntime)
 		turn := fl.targetLock("server", slices.Index(fl.nodes, n))
