--- a/conns/cut_test.go
+++ b/conns/cut_test.go
@@ -92,7 +92,7 @@
 	length := func(s string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(s)) }
 	return []cutShape{
 		{name: "length", head: ok + length(text), body: text, content: text},
-		{name: "length first", head: "HTTP/1.1 200 OK\r\n" + length(text) + "X-Id: a\r\nResponse-Seal: s\r\n", body: text, content: text},
+		{name: "length first", head: "HTTP/1.1 200 OK\r\n" + length(text) + "X-Id: a\r\nX-Seal: s\r\n", body: text, content: text},
 		{name: "length 0", head: ok + length("")},
 		{name: "length twice", head: ok + length(text) + length(text), body: text, content: text},
 		{name: "folded length", head: ok + "Content-Length:\r\n 33\r\n", body: text, content: text},
@@ -125,7 +125,7 @@
 		{name: "204", status: 204, head: "HTTP/1.1 204 No Content\r\nX-Id: a\r\n"},
 		{name: "204 with length", status: 204, head: "HTTP/1.1 204 No Content\r\nX-Id: a\r\n" + length(text)},
 		{name: "304 with length", status: 304, head: "HTTP/1.1 304 Not Modified\r\nX-Id: a\r\n" + length(text)},
-		{name: "not run", head: ok + "Not-Executed: 1\r\n" + length(text), body: text, content: text},
+		{name: "not run", head: ok + "X-Not-Run: 1\r\n" + length(text), body: text, content: text},
 		{name: "600", status: 600, head: "HTTP/1.1 600 X\r\nX-Id: a\r\n" + length(text), body: text, content: text},
 		{name: "events in chunks", head: stream + chunked, body: chunks(events[:21], events[21:30], events[30:]) + "\r\n", content: events},
 		{name: "events with length", head: stream + length(events), body: events, content: events},
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -295,7 +295,7 @@
 			e.log.Warn("connections of callers are cut", zap.Int64("connections", callers.openConns.Load()), zap.Int64("busy", callers.busyConns.Load()))
 			return
 		case busy:
-		case refusesAll: // nothing is in hand, and nothing is taken any more
+		case refusesAll: // no request is running, and none is accepted any more
 			return
 		case now.Sub(lastBusy) > unusedConnTime: // only connections that have carried nothing are left
 			e.front.Stop(forward.StopPlan{})
--- a/forward/position.go
+++ b/forward/position.go
@@ -124,7 +124,7 @@
 	repeated  bool // this attempt has repeated the event before its first one
 }
 
-// next reports whether an event is to be relayed. reason says why it does not continue the stream; empty: it does, or it may be dropped.
+// next reports whether an event is to be relayed. reason is why it does not continue the stream; empty: it does, or it may be dropped.
 func (s *sequence) next(ev *event) (relay bool, reason string) {
 	if len(ev.id) == 0 {
 		// Nothing is relayed before an event that shows that the answer continues from the position.
