Reading the change again: one name for each reason, one constant for the time of addresses

The reasons in the log line "answer out of order" have the names of the fits that they belong to; the texts stay. The soak had the time for which clients may use an address twice, with the same value; the test of planned stops uses the judge's. No assertion and no bound changes. vet and staticcheck are clean for both packages, the tests of package forward pass with -race and TestCheckers of the soak passes.

--- a/forward/position.go
+++ b/forward/position.go
@@ -105,15 +105,15 @@
 
 // Reasons why an answer does not continue a stream.
 const (
-	reasonMediaType = "media type"
-	reasonEncoding  = "content encoding"
-	reasonStatus    = "status"
-	reasonNoEvent   = "no event"
-	reasonNoID      = "event without id"
-	reasonRepeats   = "id repeated"
-	reasonSetsBack  = "id set back"
-	reasonLeavesOut = "id left out"
-	reasonOtherKind = "id of another kind"
+	reasonMediaType  = "media type"
+	reasonEncoding   = "content encoding"
+	reasonStatus     = "status"
+	reasonNoEvent    = "no event"
+	reasonNoID       = "event without id"
+	reasonRepeats    = "id repeated"
+	reasonDecreases  = "id set back"
+	reasonSkips      = "id left out"
+	reasonMixedKinds = "id of another kind"
 )
 
 // sequence checks the events of one attempt against the position of the stream.
@@ -146,11 +146,11 @@
 		s.repeated = true // some upstreams repeat the event after which they go on
 		return false, ""
 	case decreases:
-		return false, reasonSetsBack
+		return false, reasonDecreases
 	case skips:
-		return false, reasonLeavesOut
+		return false, reasonSkips
 	case mixedKinds:
-		return false, reasonOtherKind
+		return false, reasonMixedKinds
 	}
 	s.accepted = true
 	s.advance(ev.id)
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -343,7 +343,7 @@
 		timedOut := c.Ended.Sub(c.began) >= stopLimits[c.class]
 		finishing := false
 		for _, r := range runs {
-			finishing = finishing || len(stops) > 0 && !c.began.After(signal.Add(addressKeepTime)) && r.Ended.After(signal.Add(stopGrace*5/6))
+			finishing = finishing || len(stops) > 0 && !c.began.After(signal.Add(addressesEnd)) && r.Ended.After(signal.Add(stopGrace*5/6))
 		}
 		held := fl.options.Timed && c.Ended.Sub(c.Sent) > longestHold
 		if brokeOff || timedOut || finishing || len(runs) == 0 && !held {
@@ -364,10 +364,7 @@
 	return out, excused
 }
 
-// addressKeepTime is how long after a stop's signal callers may still use an address.
-const addressKeepTime = 3 * time.Second
-
-// countOutcomes counts the requests by class, whether they were sent after addressKeepTime, and outcome.
+// countOutcomes counts the requests by class, whether they were sent after addressesEnd, and outcome.
 func (fl *fleet) countOutcomes() map[string]int {
 	counts := map[string]int{}
 	fl.observed.mu.Lock()
@@ -375,7 +372,7 @@
 	for i := range fl.observed.calls {
 		c := &fl.observed.calls[i]
 		sent := "early"
-		if stops := fl.observed.plannedStops[c.entry.name]; len(stops) > 0 && c.began.After(stops[0].from.Add(addressKeepTime)) {
+		if stops := fl.observed.plannedStops[c.entry.name]; len(stops) > 0 && c.began.After(stops[0].from.Add(addressesEnd)) {
 			sent = "late"
 		}
 		counts[fmt.Sprintf("%s %s %d whole %t", c.class, sent, c.Status, c.Whole)]++
