forward: log what the fingerprint of a failed send is made of

The lines of a crash named the fingerprint only, so that they did not tell why the repeats of one request have several. A failed send that may have reached its upstream now logs method, host, URI and body size, and hashes of the caller and of the body.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -117,8 +117,12 @@
 	}
 	crash := r.recordFailure(ctx, e)
 	x.f.metrics.failures.Inc()
-	x.f.opts.Log.Info("send failed", zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.Int("stage", int(e.Stage)),
-		zap.Bool("reset", e.Reset), zap.Int("events", x.events), zap.String("crash", crash), zap.Error(e))
+	fields := []zap.Field{zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.Int("stage", int(e.Stage)),
+		zap.Bool("reset", e.Reset), zap.Int("events", x.events), zap.String("crash", crash), zap.Error(e)}
+	if e.Stage != conns.NotSent {
+		fields = append(fields, x.identityFields()...)
+	}
+	x.f.opts.Log.Info("send failed", fields...)
 	return out
 }
 
--- a/forward/record.go
+++ b/forward/record.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bergamotcroft.example/bergamot/gateway"
@@ -68,6 +69,18 @@
 	return string(b)
 }
 
+// identityFields returns what the fingerprint of a request is made of, as log fields. Credentials and the body are hashed.
+func (x *exchange) identityFields() []zap.Field {
+	return []zap.Field{
+		zap.Uint64("fingerprint", uint64(x.fingerprint)), zap.Uint64("caller", xxhash.Sum64String(x.call.Caller)), zap.String("method", x.r.Method),
+		zap.String("host", x.r.Host), zap.String("uri", x.uri[:min(len(x.uri), maxLoggedURI)]), zap.Int("body_bytes", len(x.body)),
+		zap.Uint64("body", xxhash.Sum64(x.body)),
+	}
+}
+
+// maxLoggedURI bounds the bytes of a request's URI in the log.
+const maxLoggedURI = 256
+
 // recordEnd counts and logs a request that has ended.
 func (x *exchange) recordEnd(e *result.Error) {
 	code, class := result.OK, ""
