Count crashes of a request by its content, not by the address it comes from

Cause: the fingerprint under which the ledger counts crashes held the address of the connection of a caller without credentials. The repeats of one request come from many client machines, so each address crashed three servers of its own.

Change: the fingerprint holds credentials, method, host, URI and body. As callers without credentials now share it, a sound request that loses three upstreams would be refused for all of them; so a refused request that had been answered before is tried again, by one run over all entry VMs, after 15 to 30 s and once more two minutes later. A good end removes its refusal, also from the store.

Why it works: all repeats meet in one entry of the ledger, whatever their connection.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -252,6 +252,7 @@
 		}),
 		OnEvidence: func() { archive.EvidenceChanged() },
 		OnRefused:  func(fp quarantine.Fingerprint, crashes []uint32) { archive.Enqueue(fp, crashes) },
+		OnAdmitted: func(fp quarantine.Fingerprint) { archive.Remove(fp) },
 		Broadcast: func(fp quarantine.Fingerprint, crash uint32) {
 			e.loads.QueueCrash(loads.Crash{Request: uint64(fp), ID: crash})
 		},
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -11,7 +11,7 @@
 // Call holds what a caller's request states in addition to method, path and body.
 type Call struct {
 	ID         string        // identifies this attempt of the caller
-	Caller     string        // client account; the same in each attempt
+	Caller     string        // the caller's credentials, which each of its requests has; empty: it has none
 	Remaining  time.Duration // time that the caller will still wait; 0: not stated
 	Model      string
 	Prompt     int           // tokens
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -368,8 +368,8 @@
 // models.
 func EngineModel(service, model string) string { return service + "/" + model }
 
-// hashRequest returns the fingerprint under which crashes of the request are counted. A caller's retries have the same
-// fingerprint.
+// hashRequest returns the fingerprint under which crashes of the request are counted. It holds only what the upstream
+// works on: a caller's repeats, and those of callers without credentials, may come from any address.
 func (x *exchange) hashRequest() quarantine.Fingerprint {
 	d := xxhash.New()
 	for _, s := range []string{x.call.Caller, "\x00", x.r.Method, "\x00", x.r.Host, "\x00", x.uri, "\x00"} {
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -101,6 +101,11 @@
 	a.enqueue(archiveChange{archiveKind, objectName(uint64(fp)), storedRefusal{Crashes: crashes}})
 }
 
+// Remove queues the removal of a fingerprint that is no longer refused.
+func (a *Archive) Remove(fp Fingerprint) {
+	a.enqueue(archiveChange{kind: archiveKind, name: objectName(uint64(fp))})
+}
+
 // EnqueuePart is like Enqueue, for a refused part.
 func (a *Archive) EnqueuePart(s RefusedPart) {
 	a.enqueue(partChange(s))
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -14,7 +15,7 @@
 // Ledger is the lenient counterpart of Quarantine, for requests with short deadlines and a bound on the number of
 // upstreams that one request may crash. After a crash, a request waits a moment for the reports of other entry VMs. The
 // last allowed run is the only one across all entry VMs, and the request is refused once Limit of its runs in a row
-// have crashed their upstreams.
+// have crashed their upstreams. A refused request that had been answered before is tried again, by one run at a time.
 //
 // A crash is a run that broke off at an upstream whose process has ended. The break and the end of the process are
 // reported separately, in either order.
@@ -27,7 +28,8 @@
 	mu              sync.Mutex
 	entries         map[Fingerprint]*entry
 	runs            runTable
-	lastRebroadcast Fingerprint // last fingerprint that RebroadcastRefused sent
+	answered        fingerprintSet // requests that came to a good end here
+	lastRebroadcast Fingerprint    // last fingerprint that RebroadcastRefused sent
 }
 
 // LedgerOptions configures a Ledger. Zero values take the defaults.
@@ -52,6 +54,8 @@
 	// OnRefused is called when a crash detected at this entry VM makes a fingerprint refused, with its crashes. It must
 	// not block. Optional.
 	OnRefused func(fp Fingerprint, crashes []uint32)
+	// OnAdmitted is called when a good end at this entry VM ends the refusal of a fingerprint. It must not block. Optional.
+	OnAdmitted func(fp Fingerprint)
 	// OnEvidence is called when the result of Ledger.Evidence may have changed. It must not block. Optional.
 	OnEvidence func()
 	Now        func() time.Time
@@ -79,6 +83,9 @@
 	lastCrash        time.Time           // when the last crash was counted
 	running          int                 // runs at this entry VM that began under suspicion
 	claimedElsewhere time.Time           // when another entry VM announced the last allowed run; zero: none is announced
+	trialAt          time.Time           // when a refused request is tried; zero: never
+	trials           int                 // trials of all entry VMs that are known here
+	onTrial          bool                // a trial runs at this entry VM
 }
 
 // NewLedger returns a Ledger.
@@ -101,6 +108,9 @@
 	if o.OnRefused == nil {
 		o.OnRefused = func(Fingerprint, []uint32) {}
 	}
+	if o.OnAdmitted == nil {
+		o.OnAdmitted = func(Fingerprint) {}
+	}
 	if o.OnEvidence == nil {
 		o.OnEvidence = func() {}
 	}
@@ -110,12 +120,15 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Ledger{opts: o, entries: map[Fingerprint]*entry{}, runs: newRunTable()}
+	return &Ledger{opts: o, entries: map[Fingerprint]*entry{}, runs: newRunTable(), answered: newFingerprintSet(answeredCapacity, o.Expiry)}
 }
 
 // defaultExpiry is longer than callers keep retrying a request.
 const defaultExpiry = 10 * time.Minute
 
+// answeredCapacity bounds the memory for answered requests to about half a megabyte.
+const answeredCapacity = 8192
+
 func setDefault(v *time.Duration, d time.Duration) {
 	if *v <= 0 {
 		*v = d
@@ -130,7 +143,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if n := l.count(fp); n >= l.opts.Limit {
-		return l.refusal(n)
+		return l.allowed(l.entries[fp], n)
 	}
 	return nil
 }
@@ -150,16 +163,23 @@
 		return nil, 0, err
 	}
 	e.running++
+	trial := n >= l.opts.Limit
+	if trial {
+		e.onTrial = true
+		l.scheduleTrial(e)
+		l.opts.Log.Info("trial of a refused request", zap.Uint64("fingerprint", uint64(fp)), zap.Int("trials", e.trials))
+	}
 	l.mu.Unlock()
-	last := n == l.opts.Limit-1
-	if last {
+	alone := n >= l.opts.Limit-1
+	if alone {
 		l.opts.Broadcast(fp, Claimed)
 	}
 	return func() {
 		l.mu.Lock()
 		e.running--
+		e.onTrial = e.onTrial && !trial
 		l.mu.Unlock()
-		if last {
+		if alone {
 			l.opts.Broadcast(fp, Released)
 		}
 	}, l.opts.Settle, nil
@@ -180,17 +200,40 @@
 }
 
 // allowed returns an error if another run after n crashes could exceed the limit, assuming that every run in flight
-// here crashes its upstream. The lock is held.
+// here crashes its upstream, and if it would be a trial that is not due. The lock is held.
 func (l *Ledger) allowed(e *entry, n int) *result.Error {
+	now := l.opts.Now()
 	switch {
-	case n >= l.opts.Limit:
+	case n >= l.opts.Limit && !e.onTrial && (e.trialAt.IsZero() || now.Before(e.trialAt)):
 		return l.refusal(n)
-	case n+e.running >= l.opts.Limit, n == l.opts.Limit-1 && l.opts.Now().Sub(e.claimedElsewhere) < l.opts.ClaimTTL:
+	case e.running > 0 && n+e.running >= l.opts.Limit, n >= l.opts.Limit-1 && now.Sub(e.claimedElsewhere) < l.opts.ClaimTTL:
 		return result.New(result.Quarantined, "this request crashed %d upstreams, and another run of it is in hand", n).WithRetryAfter(claimedRetryAfter)
 	}
 	return nil
 }
 
+// requestTrialDelays are the times from a refusal, and from each trial, to the next trial. Users allow three runs after the third crash.
+var requestTrialDelays = []time.Duration{15 * time.Second, 2 * time.Minute}
+
+// trialJitter spreads the trials of the entry VMs, as trials that begin together are both refused.
+const trialJitter = 15 * time.Second
+
+// planFirstTrial plans the first trial of a request that has become refused. A request that has never been answered is not tried. The
+// lock is held.
+func (l *Ledger) planFirstTrial(fp Fingerprint, e *entry) {
+	if l.answered.contains(fp, l.opts.Now()) {
+		e.trialAt = l.opts.Now().Add(requestTrialDelays[0] + rand.N(trialJitter))
+	}
+}
+
+// scheduleTrial plans the next trial after one has begun, here or at another entry VM. The lock is held.
+func (l *Ledger) scheduleTrial(e *entry) {
+	e.trialAt = time.Time{}
+	if e.trials++; e.trials < len(requestTrialDelays) {
+		e.trialAt = l.opts.Now().Add(requestTrialDelays[e.trials] + rand.N(trialJitter))
+	}
+}
+
 func (l *Ledger) refusal(crashes int) *result.Error {
 	return result.New(result.Quarantined, "this request crashed %d upstreams", crashes).WithRetryAfter(refusedRetryAfter)
 }
@@ -223,12 +266,16 @@
 	case Cleared:
 		l.clear(fp, fromPeer)
 	case Claimed, Released:
-		if l.count(fp) == 0 {
+		n := l.count(fp)
+		if n == 0 {
 			return
 		}
 		e := l.entries[fp]
 		if e.claimedElsewhere = (time.Time{}); crash == Claimed {
 			e.claimedElsewhere = l.opts.Now()
+			if n >= l.opts.Limit && !e.trialAt.IsZero() {
+				l.scheduleTrial(e)
+			}
 		}
 	default:
 		l.countCrash(fp, crash, fromPeer)
@@ -270,6 +317,9 @@
 	}
 	l.opts.Log.Info("crash noted", zap.Uint64("fingerprint", uint64(fp)), zap.Uint32("crash", crash), zap.String("from", from),
 		zap.Int("crashes", n+1))
+	if n+1 == l.opts.Limit {
+		l.planFirstTrial(fp, e)
+	}
 	return n + 1
 }
 
@@ -308,15 +358,19 @@
 // answer. An error answer does not clear a fingerprint: it may have come before the point of the crash.
 func (l *Ledger) Completed(fp Fingerprint) {
 	l.mu.Lock()
-	suspect := l.clear(fp, fromSelf)
+	l.answered.add(fp, l.opts.Now())
+	crashes := l.clear(fp, fromSelf)
 	l.mu.Unlock()
-	if suspect {
+	if crashes > 0 {
 		l.opts.Broadcast(fp, Cleared)
 	}
+	if crashes >= l.opts.Limit {
+		l.opts.OnAdmitted(fp)
+	}
 }
 
-// clear ends the suspicion against fp and reports whether there was one. The lock is held.
-func (l *Ledger) clear(fp Fingerprint, from string) bool {
+// clear ends the suspicion against fp and returns the number of its crashes. The lock is held.
+func (l *Ledger) clear(fp Fingerprint, from string) int {
 	n := l.count(fp)
 	if n > 0 && len(l.entries[fp].own) > 0 {
 		l.opts.OnEvidence()
@@ -325,7 +379,7 @@
 	if n > 0 {
 		l.opts.Log.Info("suspicion ended", zap.Uint64("fingerprint", uint64(fp)), zap.String("from", from), zap.Int("crashes", n))
 	}
-	return n > 0
+	return n
 }
 
 // RebroadcastRefused sends the refused fingerprints to the other entry VMs again, at most limit of them per call and
