--- a/catalog/exchange_test.go
+++ b/catalog/exchange_test.go
@@ -247,3 +247,38 @@
 		})
 	}
 }
+
+// Guards against a follower that keeps a removed upstream, or never uses a new one, because a configuration has raised its watcher's
+// revision just before.
+func TestFollowersGetUpstreamsBesideAConfiguration(t *testing.T) {
+	f := newFakeStore()
+	f.put("config", "main", `{"v":1}`)
+	f.put("servers", "a", `{"s":"x"}`)
+	f.put("servers", "b", `{"s":"x"}`)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f.changed = make(chan struct{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		leader := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds})
+		follower := New(Options{
+			Store: f, Decoder: testDecoder{}, Kinds: kinds, Peers: &fakeWatcher{watched: leader}, Watchers: func() []string { return []string{"w"} },
+		})
+		for _, c := range []*Catalog{leader, follower} {
+			all.Go(func() { is.NoErr(c.Run(ctx)) })
+			time.Sleep(2 * time.Second)
+		}
+		is.Equal(names(follower), "ab")
+		f.put("servers", "a", `{"s":"y"}`) // the watcher pauses after an event
+		time.Sleep(settleDelay / 4)
+		f.remove("servers", "b")
+		f.put("servers", "c", `{"s":"x"}`)
+		f.put("config", "main", `{"v":2}`)
+		time.Sleep(drainTime)
+		is.Equal(version(follower), uint64(2))
+		is.Equal(names(leader), "ac")
+		is.Equal(names(follower), "ac")
+		cancel()
+		all.Wait()
+	})
+}
