catalog: followers compare lists of upstreams by the revision of the list

Cause: a follower takes an entry away, or uses a new one, only if the watcher's store revision is above its own. That revision is one for all kinds. If a configuration is applied before the removal of an upstream with a lower revision, which the watcher sees after its pause of 100 ms, the follower has that revision already. The removed upstream then stays, and the new one stays out, until another change of the upstreams; the answers in between are 'unchanged'. Class: a position in one sequence that is judged by another one's.

Change: the state between VMs carries the revision of the list of upstreams, and entries are judged by that. Older processes send none; then the store revision counts as before.

Why it works: the watcher's list revision rises with each event of the upstreams, whatever the other kinds have done.

--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -34,13 +35,15 @@
 // stateMessage is the encoding of a state between peers. It holds the stored values, which the receiver decodes like those of
 // the store.
 type stateMessage struct {
-	Revision      uint64          `json:"revision"` // store revision
-	Boot          uint64          `json:"boot"`
-	Generation    uint64          `json:"generation"`              // of the sender's state
-	Lost          bool            `json:"lost,omitempty"`          // the sender cannot reach the store
-	Unchanged     bool            `json:"unchanged,omitempty"`     // nothing has changed; the upstreams are omitted
-	Configuration json.RawMessage `json:"configuration,omitempty"` // omitted when unchanged
-	Upstreams     []entryMessage  `json:"upstreams"`               // all upstreams
+	Revision uint64 `json:"revision"` // highest store revision of any kind
+	// UpstreamsRevision is the store revision of the list of upstreams; 0 from older processes.
+	UpstreamsRevision uint64          `json:"upstreams_revision,omitempty"`
+	Boot              uint64          `json:"boot"`
+	Generation        uint64          `json:"generation"`              // of the sender's state
+	Lost              bool            `json:"lost,omitempty"`          // the sender cannot reach the store
+	Unchanged         bool            `json:"unchanged,omitempty"`     // nothing has changed; the upstreams are omitted
+	Configuration     json.RawMessage `json:"configuration,omitempty"` // omitted when unchanged
+	Upstreams         []entryMessage  `json:"upstreams"`               // all upstreams
 	// Plans for software versions, omitted when unchanged; see package versions.
 	Plans         json.RawMessage `json:"plans,omitempty"`
 	PlansRevision uint64          `json:"plans_revision,omitempty"`
@@ -72,7 +75,7 @@
 	if !c.listed[c.opts.Kinds.Configuration] || !c.listed[c.opts.Kinds.Upstreams] {
 		return 0, nil, trace.Wrap(errIncomplete)
 	}
-	x := stateMessage{Revision: c.revision, Boot: c.boot, Generation: c.generation, Lost: len(c.unreachableSince) > 0, Unchanged: c.generation == after}
+	x := stateMessage{Revision: c.revision, UpstreamsRevision: c.listedRevision, Boot: c.boot, Generation: c.generation, Lost: len(c.unreachableSince) > 0, Unchanged: c.generation == after}
 	if c.tableGeneration > after {
 		x.Configuration = c.rawTable
 	}
@@ -134,7 +137,7 @@
 }
 
 // Import applies a peer's state. It never replaces local state by an older one: an older configuration, an older entry, an entry
-// that is leaving here or was removed here has no effect. Only a peer with a higher store revision can remove entries.
+// that is leaving here or was removed here has no effect. Only a peer with a newer list of upstreams can remove entries.
 func (c *Catalog) Import(value []byte, from string) error {
 	var x stateMessage
 	if err := json.Unmarshal(value, &x); err != nil {
@@ -148,21 +151,25 @@
 func (c *Catalog) adoptState(x *stateMessage, from string) {
 	c.update(func(now time.Time) bool {
 		changed := false
-		own := c.revision
 		if len(x.Configuration) > 0 {
 			changed = c.adoptConfiguration(x.Configuration, from)
 		}
+		listRevision := cmp.Or(x.UpstreamsRevision, x.Revision)
+		newer := !x.Unchanged && listRevision > c.listedRevision
 		listed := map[string]bool{}
 		for _, e := range x.Upstreams {
 			listed[e.Name] = true
-			changed = c.importEntry(now, e, from, x.Revision) || changed
+			changed = c.importEntry(now, e, from, listRevision) || changed
 		}
 		c.noteRevision(now, x.Revision)
 		for name := range c.entries {
-			if !listed[name] && !x.Unchanged && x.Revision > own {
-				changed = c.drop(now, name, "missing at a peer with a newer revision") || changed
+			if newer && !listed[name] {
+				changed = c.drop(now, name, "missing at a peer with a newer list") || changed
 			}
 		}
+		if newer {
+			c.listedRevision = listRevision
+		}
 		c.peerChecks = max(c.peerChecks-1, 0)
 		for _, k := range []string{c.opts.Kinds.Configuration, c.opts.Kinds.Upstreams} {
 			c.listed[k] = true
@@ -178,14 +185,16 @@
 	}
 }
 
-func (c *Catalog) importEntry(now time.Time, e entryMessage, from string, revision uint64) bool {
+// importEntry applies an entry of a peer's list of upstreams with a revision. An entry that is unknown here and not newer than the own
+// list was removed.
+func (c *Catalog) importEntry(now time.Time, e entryMessage, from string, listRevision uint64) bool {
 	changed := false
-	if len(e.Value) > 0 && (c.entries[e.Name] != nil || e.Version > c.revision || revision > c.revision && c.revision == 0) {
+	if len(e.Value) > 0 && (c.entries[e.Name] != nil || e.Version > c.listedRevision) {
 		changed = c.adoptEntry(now, e.Name, e.Version, e.Value, from)
 	}
 	if r := c.entries[e.Name]; r != nil && e.Leaving && !r.entry.Leaving {
 		if e.HeldBack {
-			c.goneStarts[startKey(r.entry)] = goneStart{now, store.EraOf(revision) - 1}
+			c.goneStarts[startKey(r.entry)] = goneStart{now, store.EraOf(listRevision) - 1}
 			r.entry.Leaving, r.heldBack, r.generation = true, true, c.generation
 		} else {
 			c.markLeaving(now, r)
