catalog: followers leave a watcher whose store call was left unanswered

What callers would see: requests to a server that left more than drain_ms ago (3 s on the grown deployments), through the VMs that follow a watcher (DRAIN).

Cause: a watcher that is cut off from the store without a reset counts it as lost after a watch (2.6 s) and a list (0.65 s), and answers its followers 'unchanged' until then; they are in touch and bound to 3 s.

Change: a watcher tells its followers as soon as one call was left unanswered. Calls that the store cuts off do not count.

Why it works: the next watcher has the state, so a follower is at most 2.6 s and one call behind.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -104,6 +104,7 @@
 	observers        []func(State)
 	unreachableSince map[string]time.Time // by kind: when the current outage was recorded
 	reachableSince   map[string]time.Time // by kind: when the last outage ended
+	unanswered       map[string]bool      // kinds whose last call the store left unanswered
 	confirmed        time.Time            // last answer of the store, or of a peer used in its place
 	boot             uint64               // random identifier of this process; generations of two processes do not compare
 	generation       uint64               // number of the last change of the local state, for followers
@@ -161,7 +162,7 @@
 	}
 	return &Catalog{
 		opts: o, entries: map[string]*record{}, leavingStarts: map[string]time.Time{}, unreadable: map[string]bool{}, goneStarts: map[string]goneStart{}, unreachableSince: map[string]time.Time{},
-		reachableSince: map[string]time.Time{}, listed: map[string]bool{}, changed: make(chan struct{}),
+		reachableSince: map[string]time.Time{}, unanswered: map[string]bool{}, listed: map[string]bool{}, changed: make(chan struct{}),
 		boot: rand.Uint64(),
 	}
 }
--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -41,6 +41,7 @@
 	Boot              uint64          `json:"boot"`
 	Generation        uint64          `json:"generation"`              // of the sender's state
 	Lost              bool            `json:"lost,omitempty"`          // the sender cannot reach the store
+	Unanswered        bool            `json:"unanswered,omitempty"`    // the store left the last call of the sender unanswered
 	Unchanged         bool            `json:"unchanged,omitempty"`     // nothing has changed; the upstreams are omitted
 	Configuration     json.RawMessage `json:"configuration,omitempty"` // omitted when unchanged
 	Upstreams         []entryMessage  `json:"upstreams"`               // all upstreams
@@ -61,11 +62,12 @@
 var (
 	errIncomplete = errors.New("the state is not complete yet")
 	errStoreLost  = errors.New("the peer cannot reach the store")
+	errUnanswered = errors.New("the store does not answer the peer at present")
 	errRestarted  = errors.New("the peer has restarted")
 )
 
 // Export returns the store revision and the encoded state, without the values that have not changed since generation after. If
-// after is above 0, it waits up to maxExportWait for a change or until the store becomes unreachable.
+// after is above 0, it waits up to maxExportWait for a change or until the store leaves a call unanswered.
 func (c *Catalog) Export(ctx context.Context, after uint64) (uint64, []byte, error) {
 	if after > 0 {
 		c.awaitChange(ctx, after)
@@ -76,6 +78,7 @@
 		return 0, nil, trace.Wrap(errIncomplete)
 	}
 	x := stateMessage{Revision: c.revision, UpstreamsRevision: c.listedRevision, Boot: c.boot, Generation: c.generation, Lost: len(c.unreachableSince) > 0, Unchanged: c.generation == after}
+	x.Unanswered = len(c.unanswered) > 0
 	if c.tableGeneration > after {
 		x.Configuration = c.rawTable
 	}
@@ -115,13 +118,13 @@
 	return out
 }
 
-// awaitChange waits until the generation is above after or the store is unreachable, for maxExportWait at most.
+// awaitChange waits until the generation is above after or the store leaves a call unanswered, for maxExportWait at most.
 func (c *Catalog) awaitChange(ctx context.Context, after uint64) {
 	end := time.NewTimer(maxExportWait)
 	defer end.Stop()
 	for {
 		c.mu.Lock()
-		changed, done := c.changed, c.generation > after || len(c.unreachableSince) > 0
+		changed, done := c.changed, c.generation > after || len(c.unreachableSince) > 0 || len(c.unanswered) > 0
 		c.mu.Unlock()
 		if done {
 			return
@@ -346,8 +349,11 @@
 	}
 	c.adoptState(&x, position.address)
 	position.boot, position.generation = x.Boot, x.Generation
-	if x.Lost {
+	switch {
+	case x.Lost:
 		return trace.Wrap(errStoreLost)
+	case x.Unanswered: // the follower would learn of changes too late if it waited until the store counts as lost
+		return trace.Wrap(errUnanswered)
 	}
 	return nil
 }
@@ -372,6 +378,7 @@
 	c.following = following
 	if following {
 		clear(c.unreachableSince) // the watcher reaches the store
+		clear(c.unanswered)
 		c.opts.Log.Info("following a watcher", zap.String("watcher", address), zap.Uint64("revision", c.revision))
 		return
 	}
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -25,6 +25,8 @@
 	listTimeout     = 650 * time.Millisecond
 	longListTimeout = 2500 * time.Millisecond
 	longListEvery   = 3
+	// unansweredAfter distinguishes a call that the store has left unanswered from one that it has cut off; a watch waits for two seconds.
+	unansweredAfter = 2 * time.Second
 	// outageFailures is the number of failed calls in a row that make an outage. One is not enough: a connection can go silent and a
 	// waiting watch can be cut off while the store is available and upstreams renew their entries.
 	outageFailures = 2
@@ -70,6 +72,7 @@
 			continue
 		}
 		var err error
+		began := c.opts.Clock.Now()
 		if !listed {
 			from, err = listWithin(ctx, list, listTimeout)
 			listed = err == nil
@@ -91,6 +94,9 @@
 		}
 		failures++
 		listed = false // a list detects sooner than a watch that the store answers again
+		if c.opts.Clock.Now().Sub(began) > unansweredAfter {
+			c.recordUnanswered(kind)
+		}
 		if failures < outageFailures {
 			c.opts.Log.Info("call to the store failed; listing again", zap.String("kind", kind), zap.String("error", firstLine(err)))
 		} else {
@@ -234,6 +240,7 @@
 	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
 	c.confirmed = now
+	delete(c.unanswered, kind)
 	if since, ok := c.unreachableSince[kind]; ok {
 		delete(c.unreachableSince, kind)
 		c.reachableSince[kind] = now
@@ -241,6 +248,16 @@
 	}
 }
 
+// recordUnanswered records that the store has left a call for a kind unanswered, so that followers switch to another watcher.
+func (c *Catalog) recordUnanswered(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.unanswered[kind] {
+		c.unanswered[kind] = true
+		c.wakeFollowers()
+	}
+}
+
 // recordUnreachable records that the store does not answer calls for a kind.
 func (c *Catalog) recordUnreachable(kind string, err error) {
 	c.mu.Lock()
--- a/catalog/silence_test.go
+++ b/catalog/silence_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"bergamotcroft.example/bergamot/store"
 )
 
 // stableTime is how long after a disruption the bounds of the operators apply again, and drainTime how long a removed upstream still
@@ -85,3 +88,77 @@
 		all.Wait()
 	})
 }
+
+// cutStore is a store that one VM can lose without a reset.
+type cutStore struct {
+	*fakeStore
+	cut atomic.Bool
+}
+
+func (s *cutStore) List(ctx context.Context, kind, after string) ([]store.Object, uint64, error) {
+	if s.cut.Load() {
+		<-ctx.Done()
+		return nil, 0, store.ErrUnavailable
+	}
+	return s.fakeStore.List(ctx, kind, after)
+}
+
+func (s *cutStore) Watch(ctx context.Context, kind string, from uint64) ([]store.Event, uint64, error) {
+	givenUp := time.After(2*time.Second + watchMargin)
+	events, next, err := s.fakeStore.Watch(ctx, kind, from)
+	if !s.cut.Load() {
+		return events, next, err
+	}
+	select {
+	case <-givenUp:
+	case <-ctx.Done():
+	}
+	return nil, from, store.ErrUnavailable
+}
+
+// twoWatchers are the watchers of one follower, by address.
+type twoWatchers map[string]*fakeWatcher
+
+func (twoWatchers) Peer() string { return "" }
+
+func (w twoWatchers) Fetch(ctx context.Context, address string, after uint64) ([]byte, error) {
+	return w[address].Fetch(ctx, address, after)
+}
+
+// Guards against a follower that hears of a removal later than a large fleet's three seconds, since its watcher has lost the store
+// without a reset and still answers.
+func TestAFollowerLeavesAWatcherThatHearsNothing(t *testing.T) {
+	const largeFleetDrainTime = 3 * time.Second
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 190 * time.Millisecond {
+		t.Run(fmt.Sprint("offset=", offset), func(t *testing.T) {
+			f := newFakeStore()
+			f.put("config", "main", `{"v":1}`)
+			f.put("servers", "a", `{"s":"x"}`)
+			f.put("servers", "b", `{"s":"x"}`)
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f.changed = make(chan struct{})
+				ctx, cancel := context.WithCancel(t.Context())
+				var all sync.WaitGroup
+				cut := &cutStore{fakeStore: f}
+				first := New(Options{Store: cut, Decoder: testDecoder{}, Kinds: kinds})
+				second := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds})
+				follower := New(Options{
+					Store: f, Decoder: testDecoder{}, Kinds: kinds, Peers: twoWatchers{"w1": {watched: first}, "w2": {watched: second}},
+					Watchers: func() []string { return []string{"w1", "w2"} },
+				})
+				for _, c := range []*Catalog{first, second, follower} {
+					all.Go(func() { is.NoErr(c.Run(ctx)) })
+					time.Sleep(time.Second)
+				}
+				time.Sleep(offset)
+				cut.cut.Store(true)
+				f.remove("servers", "a")
+				time.Sleep(largeFleetDrainTime)
+				is.Equal(names(follower), "b")
+				cancel()
+				all.Wait()
+			})
+		})
+	}
+}
