forward: a refusal counts only if it names the request and states that it has not run

What callers would see: a booking that runs twice (TWICE), or that is refused with 503, 429 or 408 although it runs (REFUSED). The users saw both with real processes and have no logs; that this is what they saw is suspected, not shown.

An answer without an attempt's id was taken for the answer to the request that is on the connection now, although a kept connection may carry one to an earlier request, or that of an idle time-out; with Not-Executed, or as a bare 421, it let a booking be sent to a second server. And a 503, 429 or 408 without any statement and without the proof of its origin was passed on, which tells the caller that nothing ran. Class: a claim about one request that is taken from an answer which does not show that it speaks of it.

Change: a statement counts only in an answer that names the request; a status that is a promise and bears no proof becomes 502. An answer with the proof is passed on unchanged, whatever its status.

Why it works: what may have run is neither sent again nor reported as not run.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -49,7 +49,8 @@
 	return min(urgencyFirst+urgencyStep*max(x.route.Priority, 0), urgencyLate-1)
 }
 
-// roundTrip sends a request and returns the answer. It fails if the upstream states that it did not run the request.
+// roundTrip sends a request and returns the answer. It fails if the upstream states that it did not run the request. Such a statement
+// counts only in an answer that names the request, since one without a name may belong to an earlier request on the connection.
 func (x *exchange) roundTrip(ctx context.Context, to *topo.Upstream, s *Send) (*runResponse, Answer, error) {
 	if err := x.checkSend(); err != nil {
 		return nil, Answer{}, err
@@ -64,7 +65,7 @@
 	resp := &runResponse{r, run}
 	a := x.f.opts.Codec.ParseAnswer(resp.Status, resp.Header)
 	x.f.ApplyAvailability(to.Name, a)
-	if a.Executed {
+	if a.Executed || !a.Named {
 		if a.Proof || s.Stage == PromptOnly && resp.Status == http.StatusOK {
 			x.f.applyNoLimit(to.Name, a, sentAt)
 		}
@@ -177,7 +178,7 @@
 	if err != nil {
 		return nil, resp.run.failure(ctx, err)
 	}
-	if !a.Proof && resp.Status/100 == 2 {
+	if !a.Proof && (resp.Status/100 == 2 || a.Promise) {
 		return nil, x.unprovenFailure(p, resp)
 	}
 	h := x.f.opts.Codec.RelayedHeader(resp.Header)
