conns: an abandoned exchange resets its connection

What callers would see: work that goes on at a server after a stream was moved to another one (TWICE) or its caller has left (GONE), and requests that a healed link delivers after they were given up. Reported with real processes only, without logs; suspected, not shown, to be a part of it.

Cause: an exchange whose context ends closed its connection in order. On a simulated network the server learns of that at once; in a kernel it reads the end of its input, which a server may take for the end of the request alone, and bytes that are still in the send buffer are delivered later.

Change: the end of an exchange's context resets its connection.

Why it works: a reset ends reading and writing at the server, and the kernel drops what it has not delivered.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -74,7 +74,7 @@
 )
 
 // Do sends a request and reads the answer's header. ctx also bounds the reading of the body: when it ends, the
-// connection is closed, so that the upstream stops work on the request.
+// connection is reset, so that the upstream stops work on the request and bytes that are still on their way are dropped.
 func (p *Pool) Do(ctx context.Context, address string, q *Request) (*Response, error) {
 	c, err := p.acquire(ctx, address, q.ID)
 	if err != nil {
@@ -82,7 +82,7 @@
 	}
 	c.carry(q.ID)
 	sentAt := time.Now()
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	stop := context.AfterFunc(ctx, c.reset)
 	if n, err := c.Write(encode(q)); err != nil {
 		stop()
 		c.discard()
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -250,6 +250,14 @@
 	}
 }
 
+// reset closes the connection at once. An upstream may take a close in order for the end of the request alone.
+func (c *conn) reset() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only on a connection that has ended
+	}
+	_ = c.Close()
+}
+
 func (c *conn) discard() {
 	_ = c.Close()
 	p := c.pool
