Count runs that were given up at upstreams whose process then proves to have ended

Cause: a run that ends with its caller's time was taken for one that ended well for its upstream and was forgotten, so that neither a refused connection nor the end of the registration made it a crash. Class: no sign is taken for a good sign.

Change: a run that was given up is kept like one that broke off. It counts once the process is known to have ended, unless the upstream has answered any request since; a run in flight at a process that has ended counts when it is given up. If the upstream has answered nothing since the run was sent, its address is probed once the time is over.

Why it works: evidence is dropped by a sign of life only. A server that hangs and goes on gives one (TestAHangIsNoCrash).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -64,6 +64,9 @@
 	}
 	resp := &runResponse{r, run}
 	a := x.f.opts.Codec.ParseAnswer(resp.Status, resp.Header)
+	if !a.WrongUpstream {
+		x.f.opts.Crashes.UpstreamAnswered(to.Name)
+	}
 	x.f.ApplyAvailability(to.Name, a)
 	if a.Executed || !a.Named {
 		if a.Proof || s.Stage == PromptOnly && resp.Status == http.StatusOK {
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"syscall"
 	"time"
 
@@ -106,9 +107,8 @@
 			f.ProcessEnded(r.to.Name, "connection refused")
 		}
 		return "not sent"
-	case ctx.Err() != nil:
-		r.end()
-		return "cancelled"
+	case ctx.Err() != nil || errors.Is(e, os.ErrDeadlineExceeded) || errors.Is(e, syscall.ETIMEDOUT):
+		return r.abandon(ctx)
 	}
 	r.ended = true
 	crashes, crashed := f.opts.Crashes.RunBroken(r.x.fingerprint, r.to.Name)
@@ -123,6 +123,29 @@
 	return "process end not confirmed"
 }
 
+// abandon records that the run has ended without a sign of its upstream. Unless only this run was given up, and if the upstream has not
+// answered anything since, its address is probed: a process may end without closing its connections.
+func (r *run) abandon(ctx context.Context) string {
+	if r.ended {
+		return "cancelled"
+	}
+	r.ended = true
+	f := r.x.f
+	crashes, crashed, silent := f.opts.Crashes.RunAbandoned(r.x.fingerprint, r.to.Name)
+	if crashed {
+		f.recordCrash(r.x.fingerprint, r.to.Name, "silent, process had ended", crashes)
+		return "counted"
+	}
+	if silent && (ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded)) {
+		go func() {
+			if f.opts.Pool.RefusesConnections(context.Background(), r.to.Address) {
+				f.ProcessEnded(r.to.Name, "connection refused")
+			}
+		}()
+	}
+	return "cancelled"
+}
+
 func (f *Front) recordCrash(fp quarantine.Fingerprint, upstream, why string, crashes int) {
 	f.metrics.crashes.Inc()
 	f.opts.Log.Warn("upstream crashed with the request", zap.String("upstream", upstream), zap.String("why", why),
--- a/quarantine/runs.go
+++ b/quarantine/runs.go
@@ -12,18 +12,25 @@
 type runTable struct {
 	byUpstream     map[string]map[Fingerprint]*openRun
 	endedProcesses map[string]time.Time // upstreams whose process has ended recently
+	lastAnswers    map[string]time.Time // by upstream: when it last answered, whatever the request
 	lastSweep      time.Time
 }
 
 func newRunTable() runTable {
-	return runTable{byUpstream: map[string]map[Fingerprint]*openRun{}, endedProcesses: map[string]time.Time{}}
+	return runTable{byUpstream: map[string]map[Fingerprint]*openRun{}, endedProcesses: map[string]time.Time{}, lastAnswers: map[string]time.Time{}}
 }
 
 // openRun holds the runs of one fingerprint at one upstream.
 type openRun struct {
 	crash    uint32 // identifier of the crash if the upstream ends during these runs
 	inFlight int
-	brokenAt time.Time // when the last run broke off; zero: none has, or its crash has been counted
+	sentAt   time.Time // when the first run was sent
+	brokenAt time.Time // when the last run broke off or was abandoned; zero: none was, or its crash has been counted
+	// abandoned is set if the upstream gave no sign at brokenAt. The end is a crash only if the upstream has answered nothing since.
+	abandoned bool
+	// processEndedAt is when the upstream's process was known to have ended while runs were in flight, as on connections that have gone
+	// silent; zero: it is not.
+	processEndedAt time.Time
 
 	parts      []PartID  // shared parts of the prompt
 	partCrash  uint32    // identifier of the crash in the part ledger
@@ -57,7 +64,7 @@
 	}
 	r := m[fp]
 	if r == nil || r.inFlight <= 0 && r.brokenAt.IsZero() {
-		r = &openRun{crash: l.nextCrash(fp, upstream), parts: parts, partCrash: partCrash}
+		r = &openRun{crash: l.nextCrash(fp, upstream), parts: parts, partCrash: partCrash, sentAt: l.opts.Now()}
 		m[fp] = r
 	}
 	r.inFlight++
@@ -72,13 +79,18 @@
 	}
 }
 
-// reportParts tells the part ledger of a crash that broke off a run at brokenAt.
-func (l *Ledger) reportParts(r *openRun, brokenAt time.Time) {
-	answered := time.Duration(0)
-	if !r.answeredAt.IsZero() {
-		answered = brokenAt.Sub(r.answeredAt)
+// partsReport returns a function that tells the part ledger of the crash that ended a run. When an abandoned run was last alive is not
+// known, so that one that had begun to answer says nothing of its parts. The lock is held.
+func (l *Ledger) partsReport(r *openRun) func() {
+	crash, parts, answered := r.partCrash, r.parts, time.Duration(0)
+	switch {
+	case r.answeredAt.IsZero():
+	case r.abandoned:
+		return func() {}
+	default:
+		answered = r.brokenAt.Sub(r.answeredAt)
 	}
-	l.opts.Parts.runCrashed(r.partCrash, r.parts, answered)
+	return func() { l.opts.Parts.runCrashed(crash, parts, answered) }
 }
 
 // nextCrash returns the identifier of an upstream's next crash under a fingerprint. All runs that one crash ends, at
@@ -115,7 +127,7 @@
 	}
 }
 
-// RunBroken records that an upstream broke a run off or stopped responding. It returns the number of crashes of the
+// RunBroken records that an upstream broke a run off. It returns the number of crashes of the
 // fingerprint and whether this break counts as one. A break may still become a crash when ProcessEnded is called.
 func (l *Ledger) RunBroken(fp Fingerprint, upstream string) (crashes int, crashed bool) {
 	now := l.opts.Now()
@@ -126,17 +138,57 @@
 		return l.count(fp), false
 	}
 	r.inFlight--
-	r.brokenAt = now
+	r.brokenAt, r.abandoned = now, false
 	ended, ok := l.runs.endedProcesses[upstream]
 	if !ok || now.Sub(ended) > endedProcessTTL {
 		defer l.mu.Unlock()
 		return l.count(fp), false
 	}
+	return l.countAndReport(fp, upstream, r), true
+}
+
+// RunAbandoned records that a run has ended without a sign of its upstream, as when the caller's time is over. It returns the number of crashes of the
+// fingerprint, whether this end counts as one because the upstream's process is known to have ended, and whether the upstream has
+// answered no request since the run was sent. The run may still become a crash when ProcessEnded is called.
+func (l *Ledger) RunAbandoned(fp Fingerprint, upstream string) (crashes int, crashed, silent bool) {
+	l.mu.Lock()
+	r := l.runs.byUpstream[upstream][fp]
+	if r == nil {
+		defer l.mu.Unlock()
+		return l.count(fp), false, false
+	}
+	r.inFlight--
+	if r.brokenAt.IsZero() || r.abandoned {
+		r.brokenAt, r.abandoned = l.opts.Now(), true
+	}
+	if !l.endedBefore(r, upstream) {
+		defer l.mu.Unlock()
+		return l.count(fp), false, !l.runs.lastAnswers[upstream].After(r.sentAt)
+	}
+	return l.countAndReport(fp, upstream, r), true, true
+}
+
+// endedBefore reports whether the upstream's process had ended before a run did, with no answer since. The lock is held.
+func (l *Ledger) endedBefore(r *openRun, upstream string) bool {
+	return !r.processEndedAt.IsZero() && !l.runs.lastAnswers[upstream].After(r.processEndedAt)
+}
+
+// countAndReport counts a run that broke off as a crash, releases the lock, which is held, and tells the part ledger and the other entry
+// VMs.
+func (l *Ledger) countAndReport(fp Fingerprint, upstream string, r *openRun) int {
+	report := l.partsReport(r)
 	n := l.countBroken(fp, upstream, r)
 	l.mu.Unlock()
-	l.reportParts(r, now)
+	report()
 	l.opts.Broadcast(fp, r.crash)
-	return n, true
+	return n
+}
+
+// UpstreamAnswered records that an upstream has answered a request.
+func (l *Ledger) UpstreamAnswered(upstream string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs.lastAnswers[upstream] = l.opts.Now()
 }
 
 // ProcessEnded records that an upstream's process has ended: it accepts no connections, or another process has taken
@@ -151,12 +203,14 @@
 	l.sweep()
 	l.runs.endedProcesses[upstream] = now
 	for fp, r := range l.runs.byUpstream[upstream] {
-		if r.brokenAt.IsZero() || now.Sub(r.brokenAt) > brokenRunTTL {
+		if r.inFlight > 0 && r.processEndedAt.IsZero() {
+			r.processEndedAt = now
+		}
+		if r.brokenAt.IsZero() || now.Sub(r.brokenAt) > brokenRunTTL || r.abandoned && l.runs.lastAnswers[upstream].After(r.brokenAt) {
 			continue
 		}
 		ids[fp] = r.crash
-		brokenAt := r.brokenAt
-		reports = append(reports, func() { l.reportParts(r, brokenAt) })
+		reports = append(reports, l.partsReport(r))
 		crashes[fp] = l.countBroken(fp, upstream, r)
 	}
 	l.mu.Unlock()
@@ -198,6 +252,11 @@
 			delete(l.runs.endedProcesses, upstream)
 		}
 	}
+	for upstream, at := range l.runs.lastAnswers {
+		if len(l.runs.byUpstream[upstream]) == 0 && now.Sub(at) > brokenRunTTL {
+			delete(l.runs.lastAnswers, upstream)
+		}
+	}
 	for upstream, m := range l.runs.byUpstream {
 		for fp, r := range m {
 			if r.inFlight <= 0 && now.Sub(r.brokenAt) > brokenRunTTL {
