soak: connections from many addresses, and upstreams that end without closing theirs

Each connection through a proxy has a source address of its own, and one crash in three leaves the open connections silent.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"bergamotcroft.example/bergamot/platform"
@@ -348,8 +349,17 @@
 	if n.starts != starts {
 		return // another fault has replaced the server
 	}
-	fl.observed.recordCrash(n.id, crashDowntime) // before clients can see it
-	n.link.close()
+	silent := xxhash.Sum64String(n.id)%silentCrashes == 0
+	outage := crashDowntime
+	if silent {
+		outage += settleTime
+	}
+	fl.observed.recordCrash(n.id, outage) // before clients can see it
+	if silent {
+		n.link.vanish()
+	} else {
+		n.link.close()
+	}
 	n.server.Crash()
 	fl.restarts.Go(func() {
 		time.Sleep(crashDowntime)
@@ -362,11 +372,17 @@
 		if !replaced {
 			fl.store.Delete("servers", id)
 			fl.reportError(fl.startNode(n))
+			if silent { // connections to its address stay silent
+				fl.observed.recordCrash(n.currentID(), settleTime)
+			}
 		}
 		fl.reportError(n.link.reopen())
 	})
 }
 
+// silentCrashes is the number of crashes of which one closes no connection, as when the power is lost.
+const silentCrashes = 3
+
 // crashDowntime is how long a server that a request crashed stays down.
 const crashDowntime = 1500 * time.Millisecond
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -51,13 +52,23 @@
 
 // close refuses new connections and resets open ones, as the end of a process does.
 func (p *proxy) close() {
+	p.refuse()
+	p.reset()
+}
+
+// vanish refuses new connections and leaves open ones silent, as when a machine loses power and its address is up again.
+func (p *proxy) vanish() {
+	p.refuse()
+	p.silence()
+}
+
+func (p *proxy) refuse() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.listener != nil {
 		_ = p.listener.Close()
 		p.listener = nil
 	}
-	p.mu.Unlock()
-	p.reset()
 }
 
 // reopen accepts connections again.
@@ -90,7 +101,7 @@
 	p.mu.Lock()
 	target, direction := p.target, p.cut
 	p.mu.Unlock()
-	targetConn, err := net.DialTimeout("tcp4", target, time.Second)
+	targetConn, err := dialFromNextAddress(target)
 	if err != nil {
 		_ = clientConn.SetLinger(0) // the peer sees a reset, as from a closed port
 		_ = clientConn.Close()
@@ -112,6 +123,17 @@
 	_ = targetConn.Close()
 }
 
+// dials counts the connections of all proxies to their targets.
+var dials atomic.Int32
+
+// dialFromNextAddress connects from another loopback address each time, as the connections of one client may come from several.
+func dialFromNextAddress(target string) (net.Conn, error) {
+	const hosts = 200
+	n := dials.Add(1)
+	d := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, byte(1+n/hosts%hosts), byte(1+n%hosts))}}
+	return d.Dial("tcp4", target)
+}
+
 func (c *proxiedConn) setCut(direction cutDirection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
