--- a/forward/crash.go
+++ b/forward/crash.go
@@ -123,8 +123,8 @@
 	return "process end not confirmed"
 }
 
-// abandon records that the run has ended without a sign of its upstream. Unless only this run was given up, and if the upstream has not
-// answered anything since, its address is probed: a process may end without closing its connections.
+// abandon records that the run has ended without a sign of its upstream. If its time was over and the upstream has answered nothing since
+// it was sent, the upstream's address is probed: a process may end without closing its connections.
 func (r *run) abandon(ctx context.Context) string {
 	if r.ended {
 		return "cancelled"
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -15,7 +15,7 @@
 // Ledger is the lenient counterpart of Quarantine, for requests with short deadlines and a bound on the number of
 // upstreams that one request may crash. After a crash, a request waits a moment for the reports of other entry VMs. The
 // last allowed run is the only one across all entry VMs, and the request is refused once Limit of its runs in a row
-// have crashed their upstreams. A refused request that had been answered before is tried again, by one run at a time.
+// have crashed their upstreams. A refused request that had come to a good end before is tried again, by one run at a time.
 //
 // A crash is a run that broke off at an upstream whose process has ended. The break and the end of the process are
 // reported separately, in either order.
@@ -28,7 +28,7 @@
 	mu              sync.Mutex
 	entries         map[Fingerprint]*entry
 	runs            runTable
-	answered        fingerprintSet // requests that came to a good end here
+	completed       fingerprintSet // requests that came to a good end here
 	lastRebroadcast Fingerprint    // last fingerprint that RebroadcastRefused sent
 }
 
@@ -84,7 +84,7 @@
 	running          int                 // runs at this entry VM that began under suspicion
 	claimedElsewhere time.Time           // when another entry VM announced the last allowed run; zero: none is announced
 	trialAt          time.Time           // when a refused request is tried; zero: never
-	trials           int                 // trials of all entry VMs that are known here
+	trials           int                 // trials that are known here, of all entry VMs
 	onTrial          bool                // a trial runs at this entry VM
 }
 
@@ -120,14 +120,14 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Ledger{opts: o, entries: map[Fingerprint]*entry{}, runs: newRunTable(), answered: newFingerprintSet(answeredCapacity, o.Expiry)}
+	return &Ledger{opts: o, entries: map[Fingerprint]*entry{}, runs: newRunTable(), completed: newFingerprintSet(completedCapacity, o.Expiry)}
 }
 
 // defaultExpiry is longer than callers keep retrying a request.
 const defaultExpiry = 10 * time.Minute
 
-// answeredCapacity bounds the memory for answered requests to about half a megabyte.
-const answeredCapacity = 8192
+// completedCapacity bounds the memory for completed requests to about half a megabyte.
+const completedCapacity = 8192
 
 func setDefault(v *time.Duration, d time.Duration) {
 	if *v <= 0 {
@@ -218,10 +218,10 @@
 // trialJitter spreads the trials of the entry VMs, as trials that begin together are both refused.
 const trialJitter = 15 * time.Second
 
-// planFirstTrial plans the first trial of a request that has become refused. A request that has never been answered is not tried. The
-// lock is held.
+// planFirstTrial plans the first trial of a request that has become refused. A request that has never come to a good end is not
+// tried. The lock is held.
 func (l *Ledger) planFirstTrial(fp Fingerprint, e *entry) {
-	if l.answered.contains(fp, l.opts.Now()) {
+	if l.completed.contains(fp, l.opts.Now()) {
 		e.trialAt = l.opts.Now().Add(requestTrialDelays[0] + rand.N(trialJitter))
 	}
 }
@@ -358,7 +358,7 @@
 // answer. An error answer does not clear a fingerprint: it may have come before the point of the crash.
 func (l *Ledger) Completed(fp Fingerprint) {
 	l.mu.Lock()
-	l.answered.add(fp, l.opts.Now())
+	l.completed.add(fp, l.opts.Now())
 	crashes := l.clear(fp, fromSelf)
 	l.mu.Unlock()
 	if crashes > 0 {
--- a/quarantine/runs.go
+++ b/quarantine/runs.go
@@ -147,9 +147,9 @@
 	return l.countAndReport(fp, upstream, r), true
 }
 
-// RunAbandoned records that a run has ended without a sign of its upstream, as when the caller's time is over. It returns the number of crashes of the
-// fingerprint, whether this end counts as one because the upstream's process is known to have ended, and whether the upstream has
-// answered no request since the run was sent. The run may still become a crash when ProcessEnded is called.
+// RunAbandoned records that a run has ended without a sign of its upstream, as when the caller's time is over. It returns the number of
+// crashes of the fingerprint, whether this end counts as one because the upstream's process had ended before, and whether the upstream
+// has answered no request since the run was sent. The run may still become a crash when ProcessEnded is called.
 func (l *Ledger) RunAbandoned(fp Fingerprint, upstream string) (crashes int, crashed, silent bool) {
 	l.mu.Lock()
 	r := l.runs.byUpstream[upstream][fp]
