--- a/membership/core.go
+++ b/membership/core.go
@@ -60,8 +60,8 @@
 	changed func(Member)
 	deliver func(Event)
 
-	order []string // members in random probe order
-	next  int
+	order []string // members in random order, as of the last shuffle
+	next  int      // periods since then
 
 	sequence uint32
 	probe    probe
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -162,7 +162,7 @@
 	i, _ := slices.BinarySearch(c.names, name)
 	c.names = slices.Insert(c.names, i, name)
 	c.byHash[e.hash] = name
-	// A random place in the probe order keeps the time to the first probe random.
+	// The order stays random.
 	if len(c.order) > 0 {
 		i := c.rng.IntN(len(c.order) + 1)
 		c.order = append(c.order, name)
