catalog: the tests of followers share one runner and one map of watchers

Two tests of this change wrote the set-up of three older ones again, and a type of watchers by address that stood in the same package. runCatalogs runs the catalogs of a test in virtual time and ends them; runCatalog and six tests call it. newServingStore holds the store that most begin with.

No assertion, bound or moment changes.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -67,6 +67,16 @@
 	return &fakeStore{objects: map[string]store.Object{}, changed: make(chan struct{}), revision: 1}
 }
 
+// newServingStore returns a store with a configuration and upstreams of one service.
+func newServingStore(upstreams ...string) *fakeStore {
+	f := newFakeStore()
+	f.put("config", "main", `{"v":1}`)
+	for _, name := range upstreams {
+		f.put("servers", name, `{"s":"x"}`)
+	}
+	return f
+}
+
 func (f *fakeStore) put(kind, name, value string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -172,19 +182,32 @@
 
 var kinds = Kinds{Configuration: "config", Name: "main", Upstreams: "servers"}
 
-// runCatalog calls body in virtual time with a running catalog on f.
-func runCatalog(t *testing.T, f *fakeStore, peers Peers, body func(is *is.I, c *Catalog)) {
+// runCatalogs calls body in virtual time with a function that runs a catalog, on f unless its options name another store.
+func runCatalogs(t *testing.T, f *fakeStore, body func(is *is.I, run func(o Options) *Catalog)) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f.changed = make(chan struct{}) // a channel made outside the bubble would stop virtual time
-		c := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds, Peers: peers})
 		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan error, 1)
-		go func() { done <- c.Run(ctx) }()
+		var all sync.WaitGroup
+		body(is, func(o Options) *Catalog {
+			if o.Decoder, o.Kinds = (testDecoder{}), kinds; o.Store == nil {
+				o.Store = f
+			}
+			c := New(o)
+			all.Go(func() { is.NoErr(c.Run(ctx)) })
+			return c
+		})
+		cancel()
+		all.Wait()
+	})
+}
+
+// runCatalog calls body in virtual time with a running catalog on f.
+func runCatalog(t *testing.T, f *fakeStore, peers Peers, body func(is *is.I, c *Catalog)) {
+	runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
+		c := run(Options{Peers: peers})
 		time.Sleep(time.Second)
 		body(is, c)
-		cancel()
-		is.NoErr(<-done)
 	})
 }
 
--- a/catalog/exchange_test.go
+++ b/catalog/exchange_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -55,24 +54,12 @@
 // Guards against store calls that grow with the fleet, a follower that receives changes late, and one that keeps an old state
 // after its watcher has become unreachable or has lost the store.
 func TestFollowersReceiveChangesFromWatchers(t *testing.T) {
-	f := newFakeStore()
-	f.put("config", "main", `{"v":1}`)
-	f.put("servers", "a", `{"s":"x"}`)
-	f.put("servers", "b", `{"s":"x"}`)
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f.changed = make(chan struct{})
-		ctx, cancel := context.WithCancel(t.Context())
-		var all sync.WaitGroup
-		run := func(c *Catalog) {
-			all.Go(func() { is.NoErr(c.Run(ctx)) })
-		}
-		leader := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds})
-		run(leader)
+	f := newServingStore("a", "b")
+	runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
+		leader := run(Options{})
 		time.Sleep(time.Second)
 		w := &fakeWatcher{watched: leader}
-		follower := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds, Peers: w, Watchers: func() []string { return []string{"w"} }})
-		run(follower)
+		follower := run(Options{Peers: w, Watchers: func() []string { return []string{"w"} }})
 		time.Sleep(3 * time.Second)
 		is.Equal(version(follower), uint64(1))
 		is.Equal(names(follower), "ab")
@@ -105,9 +92,7 @@
 		f.update(func() { f.down = true })
 		time.Sleep(6 * time.Second)
 		position := peerPosition{address: "w"}
-		is.True(errors.Is(follower.fetchFrom(ctx, &position), errStoreLost))
-		cancel()
-		all.Wait()
+		is.True(errors.Is(follower.fetchFrom(context.Background(), &position), errStoreLost))
 	})
 }
 
@@ -160,28 +145,14 @@
 // Guards against followers that all call the store at the rate of watchers while it is down (16,278 store calls were seen on
 // ruheraum-ops-grown trouble-3), and against followers that stay with a watcher that has lost the store.
 func TestFollowersWithoutTheStore(t *testing.T) {
-	reached, cut := newFakeStore(), newFakeStore()
-	for _, f := range []*fakeStore{reached, cut} {
-		f.put("config", "main", `{"v":1}`)
-		f.put("servers", "a", `{"s":"x"}`)
-	}
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
+	reached, cut := newServingStore("a"), newServingStore("a")
+	own := newFakeStore() // the store as the follower itself reaches it
+	own.down = true
+	runCatalogs(t, own, func(is *is.I, run func(o Options) *Catalog) {
 		reached.changed, cut.changed = make(chan struct{}), make(chan struct{})
-		own := newFakeStore() // the store as the follower itself reaches it
-		own.changed = make(chan struct{})
-		own.down = true
-		ctx, cancel := context.WithCancel(t.Context())
-		var all sync.WaitGroup
-		run := func(f *fakeStore, o Options) *Catalog {
-			o.Store, o.Decoder, o.Kinds = f, testDecoder{}, kinds
-			c := New(o)
-			all.Go(func() { is.NoErr(c.Run(ctx)) })
-			return c
-		}
-		peers := watchersByAddress{"first": {watched: run(cut, Options{})}, "second": {watched: run(reached, Options{})}}
+		peers := watchersByAddress{"first": {watched: run(Options{Store: cut})}, "second": {watched: run(Options{Store: reached})}}
 		time.Sleep(time.Second)
-		follower := run(own, Options{Peers: peers, Watchers: func() []string { return []string{"first", "second"} }})
+		follower := run(Options{Peers: peers, Watchers: func() []string { return []string{"first", "second"} }})
 		time.Sleep(3 * time.Second)
 		is.Equal(version(follower), uint64(1))
 
@@ -207,8 +178,6 @@
 		reached.put("config", "main", `{"v":3}`)
 		time.Sleep(300 * time.Millisecond)
 		is.Equal(version(follower), uint64(3))
-		cancel()
-		all.Wait()
 	})
 }
 
@@ -216,20 +185,8 @@
 func TestAFollowerOfDarkWatchersGetsChangesInTime(t *testing.T) {
 	const inForceWithin = 3 * time.Second // the bound of fleets that have followers
 	for phase := range 10 {               // of the follower's call when the watchers turn dark
-		f := newFakeStore()
-		f.put("config", "main", `{"v":1}`)
-		f.put("servers", "a", `{"s":"x"}`)
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			f.changed = make(chan struct{})
-			ctx, cancel := context.WithCancel(t.Context())
-			var all sync.WaitGroup
-			run := func(o Options) *Catalog {
-				o.Store, o.Decoder, o.Kinds = f, testDecoder{}, kinds
-				c := New(o)
-				all.Go(func() { is.NoErr(c.Run(ctx)) })
-				return c
-			}
+		f := newServingStore("a")
+		runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
 			peers := watchersByAddress{"first": {watched: run(Options{})}, "second": {watched: run(Options{})}}
 			time.Sleep(time.Second)
 			follower := run(Options{Peers: peers, Watchers: func() []string { return []string{"first", "second"} }})
@@ -242,8 +199,6 @@
 			f.put("config", "main", `{"v":2}`)
 			time.Sleep(inForceWithin)
 			is.Equal(version(follower), uint64(2))
-			cancel()
-			all.Wait()
 		})
 	}
 }
@@ -251,23 +206,12 @@
 // Guards against a follower that keeps a removed upstream, or never uses a new one, because a configuration has raised its watcher's
 // revision just before.
 func TestFollowersGetUpstreamsBesideAConfiguration(t *testing.T) {
-	f := newFakeStore()
-	f.put("config", "main", `{"v":1}`)
-	f.put("servers", "a", `{"s":"x"}`)
-	f.put("servers", "b", `{"s":"x"}`)
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f.changed = make(chan struct{})
-		ctx, cancel := context.WithCancel(t.Context())
-		var all sync.WaitGroup
-		leader := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds})
-		follower := New(Options{
-			Store: f, Decoder: testDecoder{}, Kinds: kinds, Peers: &fakeWatcher{watched: leader}, Watchers: func() []string { return []string{"w"} },
-		})
-		for _, c := range []*Catalog{leader, follower} {
-			all.Go(func() { is.NoErr(c.Run(ctx)) })
-			time.Sleep(2 * time.Second)
-		}
+	f := newServingStore("a", "b")
+	runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
+		leader := run(Options{})
+		time.Sleep(2 * time.Second)
+		follower := run(Options{Peers: &fakeWatcher{watched: leader}, Watchers: func() []string { return []string{"w"} }})
+		time.Sleep(2 * time.Second)
 		is.Equal(names(follower), "ab")
 		f.put("servers", "a", `{"s":"y"}`) // the watcher pauses after an event
 		time.Sleep(settleDelay / 4)
@@ -278,7 +222,5 @@
 		is.Equal(version(follower), uint64(2))
 		is.Equal(names(leader), "ac")
 		is.Equal(names(follower), "ac")
-		cancel()
-		all.Wait()
 	})
 }
--- a/catalog/silence_test.go
+++ b/catalog/silence_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -26,10 +24,7 @@
 	for _, silences := range []int{1, 2, 3} {
 		for offset := time.Duration(0); offset < 2*time.Second; offset += 190 * time.Millisecond {
 			t.Run(fmt.Sprintf("silences=%d,offset=%s", silences, offset), func(t *testing.T) {
-				f := newFakeStore()
-				f.put("config", "main", `{"v":1}`)
-				f.put("servers", "a", `{"s":"x"}`)
-				f.put("servers", "b", `{"s":"x"}`)
+				f := newServingStore("a", "b")
 				runCatalog(t, f, nil, func(is *is.I, c *Catalog) {
 					time.Sleep(offset)
 					f.update(func() { f.silences++ })
@@ -63,29 +58,17 @@
 
 // Guards against a watcher that reports silent connections as an outage, so that its followers keep a removed upstream.
 func TestAFollowersRemovalDuringASilenceIsInForceInTime(t *testing.T) {
-	f := newFakeStore()
-	f.put("config", "main", `{"v":1}`)
-	f.put("servers", "a", `{"s":"x"}`)
-	f.put("servers", "b", `{"s":"x"}`)
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f.changed = make(chan struct{})
-		ctx, cancel := context.WithCancel(t.Context())
-		var all sync.WaitGroup
-		watcher := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds})
-		w := &fakeWatcher{watched: watcher}
-		follower := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds, Peers: w, Watchers: func() []string { return []string{"w"} }})
-		for _, c := range []*Catalog{watcher, follower} {
-			all.Go(func() { is.NoErr(c.Run(ctx)) })
-			time.Sleep(2 * time.Second)
-		}
+	f := newServingStore("a", "b")
+	runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
+		watcher := run(Options{})
+		time.Sleep(2 * time.Second)
+		follower := run(Options{Peers: &fakeWatcher{watched: watcher}, Watchers: func() []string { return []string{"w"} }})
+		time.Sleep(2 * time.Second)
 		f.update(func() { f.silences++ })
 		time.Sleep(100 * time.Millisecond)
 		f.remove("servers", "a")
 		time.Sleep(stableTime - 100*time.Millisecond)
 		is.Equal(names(follower), "b")
-		cancel()
-		all.Wait()
 	})
 }
 
@@ -116,48 +99,27 @@
 	return nil, from, store.ErrUnavailable
 }
 
-// twoWatchers are the watchers of one follower, by address.
-type twoWatchers map[string]*fakeWatcher
-
-func (twoWatchers) Peer() string { return "" }
-
-func (w twoWatchers) Fetch(ctx context.Context, address string, after uint64) ([]byte, error) {
-	return w[address].Fetch(ctx, address, after)
-}
-
 // Guards against a follower that hears of a removal later than a large fleet's three seconds, since its watcher has lost the store
 // without a reset and still answers.
 func TestAFollowerLeavesAWatcherThatHearsNothing(t *testing.T) {
 	const largeFleetDrainTime = 3 * time.Second
 	for offset := time.Duration(0); offset < 2*time.Second; offset += 190 * time.Millisecond {
 		t.Run(fmt.Sprint("offset=", offset), func(t *testing.T) {
-			f := newFakeStore()
-			f.put("config", "main", `{"v":1}`)
-			f.put("servers", "a", `{"s":"x"}`)
-			f.put("servers", "b", `{"s":"x"}`)
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f.changed = make(chan struct{})
-				ctx, cancel := context.WithCancel(t.Context())
-				var all sync.WaitGroup
+			f := newServingStore("a", "b")
+			runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
 				cut := &cutStore{fakeStore: f}
-				first := New(Options{Store: cut, Decoder: testDecoder{}, Kinds: kinds})
-				second := New(Options{Store: f, Decoder: testDecoder{}, Kinds: kinds})
-				follower := New(Options{
-					Store: f, Decoder: testDecoder{}, Kinds: kinds, Peers: twoWatchers{"w1": {watched: first}, "w2": {watched: second}},
-					Watchers: func() []string { return []string{"w1", "w2"} },
+				first := run(Options{Store: cut})
+				time.Sleep(time.Second)
+				second := run(Options{})
+				time.Sleep(time.Second)
+				follower := run(Options{
+					Peers: watchersByAddress{"first": {watched: first}, "second": {watched: second}}, Watchers: func() []string { return []string{"first", "second"} },
 				})
-				for _, c := range []*Catalog{first, second, follower} {
-					all.Go(func() { is.NoErr(c.Run(ctx)) })
-					time.Sleep(time.Second)
-				}
-				time.Sleep(offset)
+				time.Sleep(time.Second + offset)
 				cut.cut.Store(true)
 				f.remove("servers", "a")
 				time.Sleep(largeFleetDrainTime)
 				is.Equal(names(follower), "b")
-				cancel()
-				all.Wait()
 			})
 		})
 	}
