membership: walk through the members by hash, not by name

What callers would see: while a data centre is cut off, VMs of the larger part take themselves for isolated and grant no permits and no versions of streams.

Cause: since all VMs probe at one pace along the sorted names. The names of a data centre follow one another, so that during a partition a VM and the one that probes it are on different sides for many periods in a row, and it receives no datagram for over three seconds. Class: one order for two purposes.

Change: the walk goes along a ring in the order of the members' hashes.

Why it works: which side the neighbours at a distance are on no longer follows from their names; the property that each member is probed in each period stays.

--- a/membership/core.go
+++ b/membership/core.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
 	"math/rand/v2"
@@ -55,6 +56,7 @@
 	self  *entry
 	table map[string]*entry
 	names []string // keys of table, sorted: a map's order would make runs with the same seed differ
+	ring  []*entry // the members in the order of their hashes
 
 	send    func(address string, datagram []byte)
 	changed func(Member)
@@ -112,6 +114,7 @@
 	c.self = &entry{m: self, hash: memberHash(self.Name)}
 	c.table[self.Name] = c.self
 	c.names = []string{self.Name}
+	c.ring = []*entry{c.self}
 	c.byHash[c.self.hash] = self.Name
 	c.updates.put(self.Name, self.Name)
 	return c
@@ -182,19 +185,20 @@
 	return !now.Before(c.currentFrom) && (c.lastTick.IsZero() || now.Sub(c.lastTick) <= Period)
 }
 
-// startProbe pings one member. All VMs walk through the sorted names at the same pace, each from its own place on, so that in each
-// period every member is probed by another VM, as far as their tables and clocks agree.
+// startProbe pings one member. All VMs walk through the ring at the same pace, each from its own place on, so that in each period every
+// member is probed by another VM, as far as their tables and clocks agree. By hashes, the names of one data centre do not follow one
+// another: its members would not be probed at all for a while when it is cut off.
 func (c *core) startProbe(now time.Time) {
 	c.probe = probe{}
 	if c.next++; c.next >= len(c.order) {
 		c.shuffle() // for pickRandom, as members come and go
 	}
-	others := len(c.names) - 1
-	self, _ := slices.BinarySearch(c.names, c.self.m.Name)
+	others := len(c.ring) - 1
+	self, _ := c.ringPosition(c.self)
 	first := int(now.UnixNano() / int64(Period) % int64(max(others, 1)))
 	for i := range others {
-		e := c.table[c.names[(self+1+(first+i)%others)%len(c.names)]]
-		if e == c.self || e.health == gone {
+		e := c.ring[(self+1+(first+i)%others)%len(c.ring)]
+		if e.health == gone {
 			continue
 		}
 		c.sequence++
@@ -204,6 +208,13 @@
 	}
 }
 
+// ringPosition returns the place of a member in the ring, or the one where it belongs.
+func (c *core) ringPosition(e *entry) (int, bool) {
+	return slices.BinarySearchFunc(c.ring, e, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.m.Name, b.m.Name))
+	})
+}
+
 func (c *core) shuffle() {
 	c.order, c.next = append(c.order[:0], c.names...), 0
 	c.rng.Shuffle(len(c.order), func(i, j int) { c.order[i], c.order[j] = c.order[j], c.order[i] })
@@ -290,9 +301,11 @@
 }
 
 func (c *core) remove(name string) {
+	i, _ := c.ringPosition(c.table[name])
+	c.ring = slices.Delete(c.ring, i, i+1)
 	delete(c.byHash, c.table[name].hash)
 	delete(c.table, name)
-	i, _ := slices.BinarySearch(c.names, name)
+	i, _ = slices.BinarySearch(c.names, name)
 	c.names = slices.Delete(c.names, i, i+1)
 }
 
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -161,6 +161,8 @@
 	c.table[name] = e
 	i, _ := slices.BinarySearch(c.names, name)
 	c.names = slices.Insert(c.names, i, name)
+	i, _ = c.ringPosition(e)
+	c.ring = slices.Insert(c.ring, i, e)
 	c.byHash[e.hash] = name
 	// The order stays random.
 	if len(c.order) > 0 {
