quarantine: one piece that counts a broken run and publishes it, one that plans a trial

The first and the later trials were planned by two copies of the same lines, with their own copy of the times of parts; planTrial does both, with the first two of those times.

Behaviour is as before, but that a process that ends publishes run by run what it did kind by kind. go test -race ./quarantine ./platform pass.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -166,7 +166,8 @@
 	trial := n >= l.opts.Limit
 	if trial {
 		e.onTrial = true
-		l.scheduleTrial(e)
+		e.trials++
+		l.planTrial(e)
 		l.opts.Log.Info("trial of a refused request", zap.Uint64("fingerprint", uint64(fp)), zap.Int("trials", e.trials))
 	}
 	l.mu.Unlock()
@@ -177,7 +178,9 @@
 	return func() {
 		l.mu.Lock()
 		e.running--
-		e.onTrial = e.onTrial && !trial
+		if trial {
+			e.onTrial = false
+		}
 		l.mu.Unlock()
 		if alone {
 			l.opts.Broadcast(fp, Released)
@@ -212,24 +215,16 @@
 	return nil
 }
 
-// requestTrialDelays are the times from a refusal, and from each trial, to the next trial. Users allow three runs after the third crash.
-var requestTrialDelays = []time.Duration{15 * time.Second, 2 * time.Minute}
+// requestTrialDelays are the first of those of parts. Users allow three runs after the third crash.
+var requestTrialDelays = trialDelays[:2]
 
 // trialJitter spreads the trials of the entry VMs, as trials that begin together are both refused.
 const trialJitter = 15 * time.Second
 
-// planFirstTrial plans the first trial of a request that has become refused. A request that has never come to a good end is not
-// tried. The lock is held.
-func (l *Ledger) planFirstTrial(fp Fingerprint, e *entry) {
-	if l.completed.contains(fp, l.opts.Now()) {
-		e.trialAt = l.opts.Now().Add(requestTrialDelays[0] + rand.N(trialJitter))
-	}
-}
-
-// scheduleTrial plans the next trial after one has begun, here or at another entry VM. The lock is held.
-func (l *Ledger) scheduleTrial(e *entry) {
+// planTrial plans the next trial of a refused request, after its refusal or after a trial has begun at any entry VM. The lock is held.
+func (l *Ledger) planTrial(e *entry) {
 	e.trialAt = time.Time{}
-	if e.trials++; e.trials < len(requestTrialDelays) {
+	if e.trials < len(requestTrialDelays) {
 		e.trialAt = l.opts.Now().Add(requestTrialDelays[e.trials] + rand.N(trialJitter))
 	}
 }
@@ -274,7 +269,8 @@
 		if e.claimedElsewhere = (time.Time{}); crash == Claimed {
 			e.claimedElsewhere = l.opts.Now()
 			if n >= l.opts.Limit && !e.trialAt.IsZero() {
-				l.scheduleTrial(e)
+				e.trials++
+				l.planTrial(e)
 			}
 		}
 	default:
@@ -317,8 +313,8 @@
 	}
 	l.opts.Log.Info("crash noted", zap.Uint64("fingerprint", uint64(fp)), zap.Uint32("crash", crash), zap.String("from", from),
 		zap.Int("crashes", n+1))
-	if n+1 == l.opts.Limit {
-		l.planFirstTrial(fp, e)
+	if n+1 == l.opts.Limit && l.completed.contains(fp, l.opts.Now()) {
+		l.planTrial(e)
 	}
 	return n + 1
 }
--- a/quarantine/runs.go
+++ b/quarantine/runs.go
@@ -79,20 +79,6 @@
 	}
 }
 
-// partsReport returns a function that tells the part ledger of the crash that ended a run. When an abandoned run was last alive is not
-// known, so that one that had begun to answer says nothing of its parts. The lock is held.
-func (l *Ledger) partsReport(r *openRun) func() {
-	crash, parts, answered := r.partCrash, r.parts, time.Duration(0)
-	switch {
-	case r.answeredAt.IsZero():
-	case r.abandoned:
-		return func() {}
-	default:
-		answered = r.brokenAt.Sub(r.answeredAt)
-	}
-	return func() { l.opts.Parts.runCrashed(crash, parts, answered) }
-}
-
 // nextCrash returns the identifier of an upstream's next crash under a fingerprint. All runs that one crash ends, at
 // any entry VM, were sent before the crash was known and compute the same identifier. Runs sent later get another
 // identifier, even if the upstream has restarted under the same name. The lock is held.
@@ -144,7 +130,10 @@
 		defer l.mu.Unlock()
 		return l.count(fp), false
 	}
-	return l.countAndReport(fp, upstream, r), true
+	n, publish := l.countBroken(fp, upstream, r)
+	l.mu.Unlock()
+	publish()
+	return n, true
 }
 
 // RunAbandoned records that a run has ended without a sign of its upstream, as when the caller's time is over. It returns the number of
@@ -165,7 +154,10 @@
 		defer l.mu.Unlock()
 		return l.count(fp), false, !l.runs.lastAnswers[upstream].After(r.sentAt)
 	}
-	return l.countAndReport(fp, upstream, r), true, true
+	n, publish := l.countBroken(fp, upstream, r)
+	l.mu.Unlock()
+	publish()
+	return n, true, true
 }
 
 // endedBefore reports whether the upstream's process had ended before a run did, with no answer since. The lock is held.
@@ -173,17 +165,6 @@
 	return !r.processEndedAt.IsZero() && !l.runs.lastAnswers[upstream].After(r.processEndedAt)
 }
 
-// countAndReport counts a run that broke off as a crash, releases the lock, which is held, and tells the part ledger and the other entry
-// VMs.
-func (l *Ledger) countAndReport(fp Fingerprint, upstream string, r *openRun) int {
-	report := l.partsReport(r)
-	n := l.countBroken(fp, upstream, r)
-	l.mu.Unlock()
-	report()
-	l.opts.Broadcast(fp, r.crash)
-	return n
-}
-
 // UpstreamAnswered records that an upstream has answered a request.
 func (l *Ledger) UpstreamAnswered(upstream string) {
 	l.mu.Lock()
@@ -197,8 +178,7 @@
 func (l *Ledger) ProcessEnded(upstream string) map[Fingerprint]int {
 	now := l.opts.Now()
 	crashes := map[Fingerprint]int{}
-	ids := map[Fingerprint]uint32{}
-	var reports []func()
+	var publish []func()
 	l.mu.Lock()
 	l.sweep()
 	l.runs.endedProcesses[upstream] = now
@@ -209,27 +189,34 @@
 		if r.brokenAt.IsZero() || now.Sub(r.brokenAt) > brokenRunTTL || r.abandoned && l.runs.lastAnswers[upstream].After(r.brokenAt) {
 			continue
 		}
-		ids[fp] = r.crash
-		reports = append(reports, l.partsReport(r))
-		crashes[fp] = l.countBroken(fp, upstream, r)
+		n, publishOne := l.countBroken(fp, upstream, r)
+		crashes[fp], publish = n, append(publish, publishOne)
 	}
 	l.mu.Unlock()
-	for _, report := range reports {
-		report()
-	}
-	for fp, id := range ids {
-		l.opts.Broadcast(fp, id)
+	for _, publishOne := range publish {
+		publishOne()
 	}
 	return crashes
 }
 
-// countBroken counts a run that broke off as a crash. The lock is held.
-func (l *Ledger) countBroken(fp Fingerprint, upstream string, r *openRun) int {
+// countBroken counts a run that broke off as a crash and returns the number of crashes. publish, which is called without the lock, tells
+// the part ledger and the other entry VMs. The lock is held.
+func (l *Ledger) countBroken(fp Fingerprint, upstream string, r *openRun) (n int, publish func()) {
+	crash, partCrash, parts, answered := r.crash, r.partCrash, r.parts, time.Duration(0)
+	if !r.answeredAt.IsZero() {
+		answered = r.brokenAt.Sub(r.answeredAt)
+	}
+	unknown := r.abandoned && !r.answeredAt.IsZero() // how long the run had been answered when the upstream ended
 	r.brokenAt = time.Time{}
 	if r.inFlight <= 0 {
 		l.forget(fp, upstream)
 	}
-	return l.countCrash(fp, r.crash, fromSelf)
+	return l.countCrash(fp, crash, fromSelf), func() {
+		if !unknown {
+			l.opts.Parts.runCrashed(partCrash, parts, answered)
+		}
+		l.opts.Broadcast(fp, crash)
+	}
 }
 
 func (l *Ledger) forget(fp Fingerprint, upstream string) {
