--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -82,7 +82,7 @@
 	}
 	c.carry(q.ID)
 	sentAt := time.Now()
-	stop := context.AfterFunc(ctx, c.reset)
+	stop := context.AfterFunc(ctx, func() { Reset(c.Conn) })
 	if n, err := c.Write(encode(q)); err != nil {
 		stop()
 		c.discard()
@@ -167,7 +167,7 @@
 }
 
 // readHead reads one status line and header within the bound on their size. Bytes that are already buffered do not
-// count. It fails if the header states a framing that net/http ignores, since a cut body could then not be told from a whole one.
+// count. It fails if net/http would ignore a framing header, as a cut body would then look whole.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	c.raw.setLimit("head of an answer", bounded.HeadBytes)
 	defer c.raw.removeLimit()
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -250,9 +250,10 @@
 	}
 }
 
-// reset closes the connection at once. An upstream may take a close in order for the end of the request alone.
-func (c *conn) reset() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+// Reset closes a connection at once, so that its peer does not take the close for the end of the request or answer alone. Bytes that have
+// not been delivered are dropped.
+func Reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0) // fails only on a connection that has ended
 	}
 	_ = c.Close()
--- a/forward/abort.go
+++ b/forward/abort.go
@@ -1,8 +1,9 @@
 package forward
 
 import (
-	"net"
 	"net/http"
+
+	"bergamotcroft.example/bergamot/conns"
 )
 
 // abort breaks the caller's connection, so that an answer that has begun does not look complete. It does not return.
@@ -19,8 +20,5 @@
 	if err != nil {
 		return // not a connection of its own; the panic that follows ends the answer
 	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // fails only on a connection that has ended
-	}
-	_ = c.Close()
+	conns.Reset(c)
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"bergamotcroft.example/bergamot/conns"
 )
 
 // proxy forwards loopback connections to a target and can disturb them.
@@ -103,8 +105,7 @@
 	p.mu.Unlock()
 	targetConn, err := dialFromNextAddress(target)
 	if err != nil {
-		_ = clientConn.SetLinger(0) // the peer sees a reset, as from a closed port
-		_ = clientConn.Close()
+		conns.Reset(clientConn) // as from a closed port
 		return
 	}
 	conn := &proxiedConn{clientConn: clientConn, targetConn: targetConn, healed: make(chan struct{})}
@@ -201,10 +202,7 @@
 	p.forEachConn(func(c *proxiedConn) {
 		c.setCut(cutNone)
 		for _, side := range []net.Conn{c.clientConn, c.targetConn} {
-			if tcp, ok := side.(*net.TCPConn); ok {
-				_ = tcp.SetLinger(0)
-			}
-			_ = side.Close()
+			conns.Reset(side)
 		}
 	})
 }
