--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -77,8 +77,10 @@
 	if !c.listed[c.opts.Kinds.Configuration] || !c.listed[c.opts.Kinds.Upstreams] {
 		return 0, nil, trace.Wrap(errIncomplete)
 	}
-	x := stateMessage{Revision: c.revision, UpstreamsRevision: c.listedRevision, Boot: c.boot, Generation: c.generation, Lost: len(c.unreachableSince) > 0, Unchanged: c.generation == after}
-	x.Unanswered = len(c.unanswered) > 0
+	x := stateMessage{
+		Revision: c.revision, UpstreamsRevision: c.listedRevision, Boot: c.boot, Generation: c.generation,
+		Lost: len(c.unreachableSince) > 0, Unanswered: len(c.unanswered) > 0, Unchanged: c.generation == after,
+	}
 	if c.tableGeneration > after {
 		x.Configuration = c.rawTable
 	}
--- a/catalog/exchange_test.go
+++ b/catalog/exchange_test.go
@@ -203,8 +203,7 @@
 	}
 }
 
-// Guards against a follower that keeps a removed upstream, or never uses a new one, because a configuration has raised its watcher's
-// revision just before.
+// Guards against a follower that misses a removed or a new upstream because a configuration has raised its watcher's revision.
 func TestFollowersGetUpstreamsBesideAConfiguration(t *testing.T) {
 	f := newServingStore("a", "b")
 	runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
--- a/catalog/silence_test.go
+++ b/catalog/silence_test.go
@@ -99,8 +99,7 @@
 	return nil, from, store.ErrUnavailable
 }
 
-// Guards against a follower that hears of a removal later than a large fleet's three seconds, since its watcher has lost the store
-// without a reset and still answers.
+// Guards against a follower that stays with a watcher that has lost the store without a reset.
 func TestAFollowerLeavesAWatcherThatHearsNothing(t *testing.T) {
 	const largeFleetDrainTime = 3 * time.Second
 	for offset := time.Duration(0); offset < 2*time.Second; offset += 190 * time.Millisecond {
--- a/cmd/bergamotd/stop_test.go
+++ b/cmd/bergamotd/stop_test.go
@@ -84,8 +84,7 @@
 	}
 }
 
-// Guards against requests that a VM takes, passes on and can't answer, because it counts the time to its end from when it handles the
-// signal and not from when it was sent.
+// Guards against a stop whose time counts from when its signal is handled, not from when it was sent.
 func TestAStopIsPlannedFromWhenItsSignalWasSent(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return nil, resp.run.failure(ctx, err)
 	}
-	if !a.Proof && (resp.Status/100 == 2 || a.Promise) {
+	if !a.Proof && (resp.Status/100 == 2 || a.NotRunStatus) {
 		return nil, x.unprovenFailure(p, resp)
 	}
 	h := x.f.opts.Codec.RelayedHeader(resp.Header)
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -50,8 +50,8 @@
 	Executed bool // false: the upstream states that it has not run the request and never will
 	Proof    bool // the answer proves its origin
 	Named    bool // the answer names the request that it belongs to
-	// Promise is set for a status by which callers are told that the request has not run and never will.
-	Promise       bool
+	// NotRunStatus is set for a status that means to callers that the request has not run and never will.
+	NotRunStatus  bool
 	WrongUpstream bool // another upstream has the address now, so the request did not reach the intended one
 	Leaving       bool // the upstream takes no new work until its next start
 	// RetryAfter is how long the upstream asks this entry VM to send no requests; 0: it has not asked.
