--- a/edge/serve_test.go
+++ b/edge/serve_test.go
@@ -16,8 +16,7 @@
 	"bergamotcroft.example/bergamot/routes"
 )
 
-// Guards against requests that are taken, or still waited for, when the process is killed, because its stop signal was handled late;
-// and against a port that is closed while callers hold its address.
+// Guards against a stop signal that was handled late: requests cut by the kill, and a port closed while callers hold its address.
 func TestAStopWhoseSignalIsHandledLate(t *testing.T) {
 	const grace = 8 * time.Second
 	now := time.Now()
--- a/membership/core.go
+++ b/membership/core.go
@@ -56,7 +56,7 @@
 	self  *entry
 	table map[string]*entry
 	names []string // keys of table, sorted: a map's order would make runs with the same seed differ
-	ring  []*entry // the members in the order of their hashes
+	ring  []*entry // the members by hash, which scatters those of a data centre
 
 	send    func(address string, datagram []byte)
 	changed func(Member)
@@ -186,8 +186,7 @@
 }
 
 // startProbe pings one member. All VMs walk through the ring at the same pace, each from its own place on, so that in each period every
-// member is probed by another VM, as far as their tables and clocks agree. By hashes, the names of one data centre do not follow one
-// another: its members would not be probed at all for a while when it is cut off.
+// member is probed by another VM, as far as their tables and clocks agree.
 func (c *core) startProbe(now time.Time) {
 	c.probe = probe{}
 	if c.next++; c.next >= len(c.order) {
--- a/quarantine/silent_test.go
+++ b/quarantine/silent_test.go
@@ -11,8 +11,7 @@
 	_ "bergamotcroft.example/bergamot/internal/fixedseed"
 )
 
-// Guards against a request under which processes end without closing their connections, so that its runs end with the caller's time: it
-// is sent three times at most later than the users' three seconds after the third end.
+// Guards against a request whose runs end with its caller's time, so that the ends of its servers are not counted.
 func TestEndsWithoutASignAreCounted(t *testing.T) {
 	const (
 		interval     = 500 * time.Millisecond
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -45,8 +45,7 @@
 	})
 }
 
-// Guards against a crashing request that is tried again and again: one that has never been answered is not tried, another one by two
-// runs in ten minutes, where three are allowed.
+// Guards against a crashing request that is tried again and again.
 func TestTrialsOfACrashingRequestAreFew(t *testing.T) {
 	for name, answered := range map[string]bool{"never answered": false, "answered before": true} {
 		t.Run(name, func(t *testing.T) {
