catalog: followers drop what their watcher has removed after an outage

Cause: an entry that expired in an outage of the store is kept for two seconds, in case its upstream registers again. Its watcher then removes it without a new revision of the list of upstreams. A follower took removals only from a list with a newer revision than its own, so that one that had fetched the list within those two seconds, because of any other change, kept the entry until the next change.

Change: an entry that a peer does not list was removed there if the revision of the peer's list is at least that of the entry's last change, whatever list the receiver has. Otherwise the peer has not received the entry. States of older processes, which have no such revision, are judged as before.

--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -141,8 +141,21 @@
 	}
 }
 
+// hasRemoved reports whether the sender has removed an entry that it does not list. Otherwise the sender has not received the entry, which
+// was last changed at a store revision. ownListRevision is that of the receiver's list of upstreams.
+func (x *stateMessage) hasRemoved(version, ownListRevision uint64) bool {
+	switch {
+	case x.Unchanged: // the list is omitted
+		return false
+	case x.UpstreamsRevision == 0: // an older process
+		return x.Revision > ownListRevision
+	}
+	// The revision of the receiver's list does not matter: the sender may remove an entry long after the list that lacks it.
+	return version <= x.UpstreamsRevision
+}
+
 // Import applies a peer's state. It never replaces local state by an older one: an older configuration, an older entry, an entry
-// that is leaving here or was removed here has no effect. Only a peer with a newer list of upstreams can remove entries.
+// that is leaving here or was removed here has no effect. Only a peer that has received an entry's last change can remove it.
 func (c *Catalog) Import(value []byte, from string) error {
 	var x stateMessage
 	if err := json.Unmarshal(value, &x); err != nil {
@@ -167,9 +180,9 @@
 			changed = c.importEntry(now, e, from, listRevision) || changed
 		}
 		c.noteRevision(now, x.Revision)
-		for name := range c.entries {
-			if newer && !listed[name] {
-				changed = c.drop(now, name, "missing at a peer with a newer list") || changed
+		for name, r := range c.entries {
+			if !listed[name] && x.hasRemoved(r.version, c.listedRevision) {
+				changed = c.drop(now, name, "removed at a peer") || changed
 			}
 		}
 		if newer {
