catalog: followers get the whole state when they begin to follow

Callers would be refused, or wait, for lack of an upstream that serves: a follower did not use it until its entry changed.

Cause: three ways in which a follower's list differs from its watcher's for good. What the follower had marked as missing in its own view of an outage was dropped while it followed, although the watcher knew that the upstream had registered again unchanged. Changes since the last call leave out the values of entries that the follower has removed meanwhile, and its list counted as complete nevertheless. Calls to the store that were still in flight when following began were applied on top of the watcher's state.

Change: following begins with the whole state and without entries marked as missing, and results of own calls to the store are dropped while it lasts. A state with an entry that is new here but has no value is not complete, and the next call fetches the whole. A watcher passes an upstream's return on even if its entry is the same.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -301,10 +301,14 @@
 	}
 	e.Leaving = e.Leaving || heldBack
 	if old != nil {
+		returned := !old.missing.IsZero()
 		old.missing = time.Time{}
 		old.version, old.value, old.heldBack = version, slices.Clone(value), heldBack
 		if sameEntry(old.entry, e) {
-			return false
+			if returned { // followers may have removed it
+				old.generation = c.generation
+			}
+			return returned
 		}
 	}
 	c.entries[name] = &record{entry: e, version: version, value: slices.Clone(value), generation: c.generation, heldBack: heldBack}
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -95,6 +97,27 @@
 	f.record(store.Event{Object: o, Deleted: true})
 }
 
+func (f *fakeStore) has(kind, name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.objects[kind+"/"+name]
+	return ok
+}
+
+// names returns the names of all objects of a kind, in order and without separators.
+func (f *fakeStore) names(kind string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, o := range f.objects {
+		if o.Kind == kind {
+			out = append(out, o.Name)
+		}
+	}
+	slices.Sort(out)
+	return strings.Join(out, "")
+}
+
 func (f *fakeStore) record(e store.Event) {
 	f.events = append(f.events, recordedEvent{f.revision, e})
 	close(f.changed)
--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -165,8 +165,10 @@
 	return nil
 }
 
-// adoptState applies a decoded peer state as described at Import.
-func (c *Catalog) adoptState(x *stateMessage, from string) {
+// adoptState applies a decoded peer state as described at Import. It reports whether the state was whole: changes may lack the values of
+// entries that are not known here.
+func (c *Catalog) adoptState(x *stateMessage, from string) (whole bool) {
+	whole = true
 	c.update(func(now time.Time) bool {
 		changed := false
 		if len(x.Configuration) > 0 {
@@ -177,6 +179,7 @@
 		listed := map[string]bool{}
 		for _, e := range x.Upstreams {
 			listed[e.Name] = true
+			whole = whole && (len(e.Value) > 0 || c.entries[e.Name] != nil || e.Version <= c.listedRevision)
 			changed = c.importEntry(now, e, from, listRevision) || changed
 		}
 		c.noteRevision(now, x.Revision)
@@ -185,7 +188,7 @@
 				changed = c.drop(now, name, "removed at a peer") || changed
 			}
 		}
-		if newer {
+		if newer && whole {
 			c.listedRevision = listRevision
 		}
 		c.peerChecks = max(c.peerChecks-1, 0)
@@ -201,6 +204,7 @@
 	if len(x.Plans) > 0 {
 		c.opts.OnPlans(x.PlansRevision, x.Plans, from)
 	}
+	return whole
 }
 
 // importEntry applies an entry of a peer's list of upstreams with a revision. An entry that is unknown here and not newer than the own
@@ -323,7 +327,9 @@
 			if watchers.failures++; err == nil {
 				watchers.failures = 0
 			}
-			c.setFollowing(err == nil, true, position.address, err)
+			if c.setFollowing(err == nil, true, position.address, err) {
+				position.generation = 0 // changes leave out entries that were removed here meanwhile
+			}
 			_ = c.opts.Clock.Sleep(ctx, watchers.delay(len(assigned)))
 			continue
 		}
@@ -362,8 +368,10 @@
 		*position = peerPosition{address: position.address}
 		return trace.Wrap(errRestarted)
 	}
-	c.adoptState(&x, position.address)
-	position.boot, position.generation = x.Boot, x.Generation
+	whole := c.adoptState(&x, position.address)
+	if position.boot, position.generation = x.Boot, x.Generation; !whole {
+		position.generation = 0 // the next call fetches the whole state
+	}
 	switch {
 	case x.Lost:
 		return trace.Wrap(errStoreLost)
@@ -374,8 +382,8 @@
 }
 
 // setFollowing records whether the state comes from a watcher instead of this VM's own watches, and whether watchers are
-// assigned. It logs each change between a watcher and own watches.
-func (c *Catalog) setFollowing(following, assigned bool, address string, err error) {
+// assigned. It logs each change between a watcher and own watches, and reports whether following begins.
+func (c *Catalog) setFollowing(following, assigned bool, address string, err error) (begins bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.watchersAssigned = assigned
@@ -388,14 +396,18 @@
 		}
 	}
 	if c.following == following {
-		return
+		return false
 	}
 	c.following = following
 	if following {
 		clear(c.unreachableSince) // the watcher reaches the store
 		clear(c.unanswered)
+		for _, r := range c.entries {
+			r.missing = time.Time{} // the watcher decides whether the upstream is gone
+		}
 		c.opts.Log.Info("following a watcher", zap.String("watcher", address), zap.Uint64("revision", c.revision))
-		return
+		return true
 	}
 	c.opts.Log.Info("watching the store", zap.Uint64("revision", c.revision), zap.String("left", address), zap.Error(err))
+	return false
 }
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -158,10 +158,13 @@
 	}
 	c.update(func(now time.Time) bool {
 		changed := false
-		c.noteRevision(now, next)
 		if kind == c.opts.Kinds.Upstreams {
+			if c.following {
+				return false // the watcher decides, and may not learn of an entry that was removed at once
+			}
 			c.listedRevision = max(c.listedRevision, next)
 		}
+		c.noteRevision(now, next)
 		for _, e := range events {
 			changed = apply(now, e) || changed
 		}
@@ -211,8 +214,8 @@
 	c.update(func(now time.Time) bool {
 		changed := false
 		listed := map[string]bool{}
-		if revision < c.listedRevision {
-			return false // a newer list or watch was applied first
+		if revision < c.listedRevision || c.following {
+			return false // a newer state was applied first
 		}
 		c.noteRevision(now, revision)
 		if store.EraOf(revision) > store.EraOf(c.listedRevision) {
