conns: the probe of an address goes on after its exchange

Cause: the probe after a reset gave up after 50 ms, and with it the only sign that the process had ended, until the registration ends. The probe was also cut by the end of the one exchange that had started it, for all exchanges that shared it.

Change: the exchange waits for 50 ms as before, and the probe goes on for up to 5 s, as long as a broken run can become a crash. A refusal that comes later is counted then. An address has one probe at a time, which belongs to the pool.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -62,6 +62,9 @@
 	open       map[string]int        // number of connections by address, including idle ones
 	dialProbes map[string]*dialProbe // by address
 	closed     bool
+
+	probes    context.Context // of all probes; ends with the pool
+	endProbes context.CancelFunc
 }
 
 var (
@@ -79,6 +82,7 @@
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
 	setDefault(&o.ForeignBodyTimeout, defaultForeignBodyTimeout)
 	p := &Pool{opts: o, idle: map[string][]*conn{}, open: map[string]int{}, dialProbes: map[string]*dialProbe{}}
+	p.probes, p.endProbes = context.WithCancel(context.Background())
 	p.dialer = net.Dialer{
 		Timeout: o.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -269,34 +273,39 @@
 	}
 }
 
-// RefusesConnections reports whether an address refuses connections, as after the end of its process. Concurrent calls
-// share one probe, whose result is reused for probeTTL.
-func (p *Pool) RefusesConnections(ctx context.Context, address string) bool {
-	now := time.Now()
-	p.mu.Lock()
-	t := p.dialProbes[address]
-	prober := t == nil || now.Sub(t.at) > probeTTL
-	if prober {
-		t = &dialProbe{at: now, done: make(chan struct{})}
-		p.dialProbes[address] = t
-	}
-	p.mu.Unlock()
-	if prober {
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		c, err := p.dialer.DialContext(ctx, "tcp4", address)
-		if err == nil {
-			_ = c.Close()
-		}
-		t.refused = errors.Is(err, syscall.ECONNREFUSED)
-		close(t.done)
-	}
+// RefusesConnections reports whether an address is known, after probeWait at most, to refuse connections, as after the end of its process.
+// If the refusal comes later, for example because a packet was lost, late is called in a goroutine of its own. Concurrent calls share one
+// probe, whose result is reused for probeTTL.
+func (p *Pool) RefusesConnections(ctx context.Context, address string, late func()) bool {
+	t := p.probe(address)
+	wait := time.NewTimer(probeWait)
+	defer wait.Stop()
 	select {
 	case <-t.done:
 		return t.refused
+	case <-wait.C:
 	case <-ctx.Done():
-		return false
 	}
+	go func() {
+		if <-t.done; t.refused {
+			late()
+		}
+	}()
+	return false
+}
+
+// probe returns a current probe of an address, and starts it if there is none.
+func (p *Pool) probe(address string) *dialProbe {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	t := p.dialProbes[address]
+	if t == nil || t.expired(now) {
+		t = &dialProbe{at: now, done: make(chan struct{})}
+		p.dialProbes[address] = t
+		go t.run(p.probes, address)
+	}
+	return t
 }
 
 // dialProbe is one attempt to connect to an address.
@@ -306,9 +315,30 @@
 	refused bool // valid once done is closed
 }
 
+func (t *dialProbe) run(ctx context.Context, address string) {
+	defer close(t.done)
+	d := net.Dialer{Timeout: probeTimeout}
+	c, err := d.DialContext(ctx, "tcp4", address)
+	if err == nil {
+		_ = c.Close()
+	}
+	t.refused = errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// expired reports whether the probe has ended and its result is too old to be reused.
+func (t *dialProbe) expired(now time.Time) bool {
+	select {
+	case <-t.done:
+		return now.Sub(t.at) > probeTTL
+	default:
+		return false
+	}
+}
+
 const (
 	probeTTL     = 100 * time.Millisecond // all exchanges that one crash ends fail within this time
-	probeTimeout = 50 * time.Millisecond  // a refusal takes one round trip
+	probeWait    = 50 * time.Millisecond  // a refusal usually takes one round trip
+	probeTimeout = 5 * time.Second        // a lost connection request is repeated after 1 s and 3 s
 )
 
 // Open returns the number of connections to an address.
@@ -340,7 +370,7 @@
 	var old []*conn
 	p.mu.Lock()
 	for address, t := range p.dialProbes {
-		if now.Sub(t.at) > probeTTL {
+		if t.expired(now) {
 			delete(p.dialProbes, address)
 		}
 	}
@@ -366,8 +396,9 @@
 	}
 }
 
-// Close closes all idle connections. Connections in use are closed when their exchange ends.
+// Close closes all idle connections and ends the probes. Connections in use are closed when their exchange ends.
 func (p *Pool) Close() {
+	p.endProbes()
 	p.mu.Lock()
 	p.closed = true
 	var addresses []string
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -111,13 +111,14 @@
 		return r.abandon(ctx)
 	}
 	r.ended = true
+	ended := func() { f.ProcessEnded(r.to.Name, "connection refused") }
 	crashes, crashed := f.opts.Crashes.RunBroken(r.x.fingerprint, r.to.Name)
 	switch {
 	case crashed:
 		f.recordCrash(r.x.fingerprint, r.to.Name, "process had ended", crashes)
 		return "counted"
-	case e.Reset && f.opts.Pool.RefusesConnections(ctx, r.to.Address):
-		f.ProcessEnded(r.to.Name, "connection refused")
+	case e.Reset && f.opts.Pool.RefusesConnections(ctx, r.to.Address, ended):
+		ended()
 		return "counted"
 	}
 	return "process end not confirmed"
@@ -137,9 +138,10 @@
 		return "counted"
 	}
 	if silent && (ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded)) {
+		ended := func() { f.ProcessEnded(r.to.Name, "connection refused") }
 		go func() {
-			if f.opts.Pool.RefusesConnections(context.Background(), r.to.Address) {
-				f.ProcessEnded(r.to.Name, "connection refused")
+			if f.opts.Pool.RefusesConnections(context.Background(), r.to.Address, ended) {
+				ended()
 			}
 		}()
 	}
