forward: a silent upstream is probed whoever gave the request up

Cause: the address of an upstream that had been silent was probed only if the context of the send had ended by its deadline. The scheduler gives a repeatable request up at its deadline as well, or earlier at the time after which callers leave a stream, and cancels its attempts for another reason; the hedge of such a request was cancelled as if the first attempt had been faster. The end of those servers was not counted until their registration ended.

Change: an upstream that has answered nothing since the request was sent is probed unless another attempt was faster. Hedges of requests that end without an answer have a cause of their own.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -124,8 +124,8 @@
 	return "process end not confirmed"
 }
 
-// abandon records that the run has ended without a sign of its upstream. If its time was over and the upstream has answered nothing since
-// it was sent, the upstream's address is probed: a process may end without closing its connections.
+// abandon records that the run has ended without a sign of its upstream. If the upstream has answered nothing since it was sent, its
+// address is probed, whoever gave the run up: a process may end without closing its connections.
 func (r *run) abandon(ctx context.Context) string {
 	if r.ended {
 		return "cancelled"
@@ -137,7 +137,7 @@
 		f.recordCrash(r.x.fingerprint, r.to.Name, "silent, process had ended", crashes)
 		return "counted"
 	}
-	if silent && (ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded)) {
+	if silent && !gateway.Superseded(ctx) { // a hedge that wins says little of the slower upstream
 		ended := func() { f.ProcessEnded(r.to.Name, "connection refused") }
 		go func() {
 			if f.opts.Pool.RefusesConnections(context.Background(), r.to.Address, ended) {
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -49,6 +49,9 @@
 	return true, true
 }
 
+// Superseded reports whether the context of an attempt has ended because another attempt of the request was faster.
+func Superseded(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errSuperseded) }
+
 // startHedge starts a second attempt beside the current one, unless the current one has ended or the quarantine gives no
 // permit. It must not block, since the loop's goroutine calls it.
 func (g *Gateway) startHedge(f *inFlight, act action) {
@@ -92,13 +95,17 @@
 	f.mu.Lock()
 	h := f.hedge
 	f.hedge, f.hedgesEnded = nil, true
-	superseded := errors.Is(context.Cause(ctx), errSuperseded)
+	superseded := Superseded(ctx)
 	f.mu.Unlock()
 	if h == nil {
 		return err
 	}
 	if err == nil || crashed || (ctx.Err() != nil && !superseded) {
-		h.cancel(errSuperseded)
+		cause := errSuperseded
+		if err != nil {
+			cause = errFirstEnded
+		}
+		h.cancel(cause)
 		f.recordFailure(<-h.done)
 		return err
 	}
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -104,6 +104,33 @@
 	})
 }
 
+// Guards against a hedge that counts as slower than another attempt although neither was answered, so that its silent upstream is not
+// probed.
+func TestAHedgeOfARequestThatIsGivenUpIsNotSuperseded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New(Options{Scheduler: newScheduler(t, "e0", "e1")})
+		f := newInFlight(1)
+		f.idempotent, f.ctx = true, t.Context()
+		superseded := map[bool]bool{} // by whether the attempt is the hedge
+		f.attempt = func(ctx context.Context, act *action) error {
+			<-ctx.Done()
+			superseded[act.hedge] = Superseded(ctx)
+			return &upstream.Failure{Outcome: policy.Cancelled, Cause: ctx.Err()}
+		}
+		act := action{attempt: 1}
+		ended := make(chan error, 1)
+		go func() { ended <- g.runAttempt(t.Context(), f, &act) }()
+		synctest.Wait()
+		g.startHedge(f, act)
+		synctest.Wait()
+		f.preempt(act.attempt)
+		is.True(errors.Is(<-ended, errPreempted))
+		synctest.Wait()
+		is.Equal(superseded, map[bool]bool{false: false, true: false})
+	})
+}
+
 // Guards against a hedge of an attempt that has failed and is about to be repeated, which nothing waits for.
 func TestAFailedAttemptGetsNoHedge(t *testing.T) {
 	is := is.New(t)
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -19,6 +19,7 @@
 var (
 	errPreempted  = errors.New("preempted by the scheduler")
 	errSuperseded = errors.New("another attempt of the request was faster")
+	errFirstEnded = errors.New("the first attempt has ended without an answer")
 	errHandOff    = errors.New("the entry VM stops")
 )
 
