conns: an exchange that is not complete resets its connection

Change: a connection whose exchange is not complete is reset, whatever ended it. Connections after a complete answer are closed in order as before.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -85,7 +85,7 @@
 	stop := context.AfterFunc(ctx, func() { Reset(c.Conn) })
 	if n, err := c.Write(encode(q)); err != nil {
 		stop()
-		c.discard()
+		c.abort()
 		stage := Sent
 		if n == 0 {
 			stage = NotSent
@@ -95,7 +95,7 @@
 	r, err := c.readAnswer(q)
 	if err != nil {
 		stop()
-		c.discard()
+		c.abort()
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) || isTimeout(err) {
 			p.closeIdleSince(address, sentAt)
 		}
@@ -288,15 +288,19 @@
 	return &Error{Stage: stage, Reset: ctx.Err() == nil && !isTimeout(err) && !over, Err: err}
 }
 
-// Close ends the exchange. The connection is kept for reuse only after a complete answer that allows it.
+// Close ends the exchange. The connection is kept for reuse only after a complete answer that allows it, and reset after an incomplete
+// one, so that the upstream stops work on the request.
 func (r *Response) Close() {
 	alive := r.stop()
 	c := r.conn
-	if !alive || !r.complete || r.err != nil || !r.Framed || c.unshared || strings.EqualFold(r.Header.Get("Connection"), "close") {
+	switch {
+	case !r.complete || r.err != nil:
+		c.abort()
+	case !alive || !r.Framed || c.unshared || strings.EqualFold(r.Header.Get("Connection"), "close"):
 		c.discard()
-		return
+	default:
+		c.release(keepAliveTimeout(r.Header))
 	}
-	c.release(keepAliveTimeout(r.Header))
 }
 
 // keepAliveTimeout returns the timeout of the Keep-Alive header, or 0 if there is none. A timeout of 0 s is returned as
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -263,6 +263,12 @@
 	_ = c.Close()
 }
 
+// abort resets a connection whose exchange is not complete.
+func (c *conn) abort() {
+	Reset(c.Conn)
+	c.discard()
+}
+
 func (c *conn) discard() {
 	_ = c.Close()
 	p := c.pool
