--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -87,6 +87,10 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(err, errFollowing) {
+			listed = false
+			continue
+		}
 		if err == nil {
 			failures = 0
 			c.recordReachable(kind)
@@ -156,11 +160,12 @@
 	if len(events) == 0 {
 		return max(next, from), nil
 	}
+	dropped := false
 	c.update(func(now time.Time) bool {
 		changed := false
 		if kind == c.opts.Kinds.Upstreams {
-			if c.following {
-				return false // the watcher decides, and may not learn of an entry that was removed at once
+			if dropped = c.following; dropped {
+				return false
 			}
 			c.listedRevision = max(c.listedRevision, next)
 		}
@@ -170,10 +175,17 @@
 		}
 		return changed
 	})
+	if dropped {
+		return from, errFollowing
+	}
 	_ = c.opts.Clock.Sleep(ctx, settleDelay) // watchKind checks whether ctx has ended
 	return max(next, from), nil
 }
 
+// errFollowing is the error of a call whose result is dropped because the state comes from a watcher since it began. The watcher may never
+// learn of an entry in it that was removed at once.
+var errFollowing = errors.New("a watcher is followed")
+
 func (c *Catalog) configurationEvent(_ time.Time, e store.Event) bool {
 	if e.Deleted || e.Object.Name != c.opts.Kinds.Name {
 		return false
@@ -211,11 +223,15 @@
 	if err != nil {
 		return 0, err
 	}
+	dropped := false
 	c.update(func(now time.Time) bool {
 		changed := false
 		listed := map[string]bool{}
-		if revision < c.listedRevision || c.following {
-			return false // a newer state was applied first
+		if dropped = c.following; dropped {
+			return false
+		}
+		if revision < c.listedRevision {
+			return false // a newer list or watch was applied first
 		}
 		c.noteRevision(now, revision)
 		if store.EraOf(revision) > store.EraOf(c.listedRevision) {
@@ -233,6 +249,9 @@
 		}
 		return changed
 	})
+	if dropped {
+		return 0, errFollowing
+	}
 	return revision, nil
 }
 
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -111,14 +111,14 @@
 		return r.abandon(ctx)
 	}
 	r.ended = true
-	ended := func() { f.ProcessEnded(r.to.Name, "connection refused") }
+	refused := f.whenRefused(r.to.Name)
 	crashes, crashed := f.opts.Crashes.RunBroken(r.x.fingerprint, r.to.Name)
 	switch {
 	case crashed:
 		f.recordCrash(r.x.fingerprint, r.to.Name, "process had ended", crashes)
 		return "counted"
-	case e.Reset && f.opts.Pool.RefusesConnections(ctx, r.to.Address, ended):
-		ended()
+	case e.Reset && f.opts.Pool.RefusesConnections(ctx, r.to.Address, refused):
+		refused()
 		return "counted"
 	}
 	return "process end not confirmed"
@@ -138,16 +138,21 @@
 		return "counted"
 	}
 	if silent && !gateway.Superseded(ctx) { // a hedge that wins says little of the slower upstream
-		ended := func() { f.ProcessEnded(r.to.Name, "connection refused") }
+		refused, address := f.whenRefused(r.to.Name), r.to.Address
 		go func() {
-			if f.opts.Pool.RefusesConnections(context.Background(), r.to.Address, ended) {
-				ended()
+			if f.opts.Pool.RefusesConnections(context.Background(), address, refused) {
+				refused()
 			}
 		}()
 	}
 	return "cancelled"
 }
 
+// whenRefused returns a function that records that an upstream's address refuses connections. It keeps nothing of a request in memory.
+func (f *Front) whenRefused(upstream string) func() {
+	return func() { f.ProcessEnded(upstream, "connection refused") }
+}
+
 func (f *Front) recordCrash(fp quarantine.Fingerprint, upstream, why string, crashes int) {
 	f.metrics.crashes.Inc()
 	f.opts.Log.Warn("upstream crashed with the request", zap.String("upstream", upstream), zap.String("why", why),
