emulator: a crash of an engine is counted once

Cause: the stand-in of an engine counted a crash and went down in two steps. Two streams that crash it at once were counted as two crashes. No request ran on a third engine: a log of the failing play shows two runs on e1, one on e4.

Evidence: one of 120 plays failed, with that log.

Change: both happen under one lock.

--- a/emulator/engine/engine.go
+++ b/emulator/engine/engine.go
@@ -142,26 +142,22 @@
 	return e.spec
 }
 
-// Crash emulates a crash of the engine's process: all connections break at once.
-func (e *Engine) Crash() {
-	e.mu.Lock()
-	if !e.up {
-		e.mu.Unlock()
-		return
-	}
-	e.counts.Crashes++
-	e.mu.Unlock()
-	e.Close()
-}
+// Crash emulates a crash of the engine's process: all connections break at once. It has no effect on an engine that is down.
+func (e *Engine) Crash() { e.end(true) }
 
 // Close stops the engine.
-func (e *Engine) Close() {
+func (e *Engine) Close() { e.end(false) }
+
+func (e *Engine) end(crashed bool) {
 	e.mu.Lock()
 	if !e.up {
 		e.mu.Unlock()
 		return
 	}
 	e.up = false
+	if crashed {
+		e.counts.Crashes++
+	}
 	server, stop, stopped := e.server, e.stop, e.stopped
 	e.mu.Unlock()
 	stop()
--- a/server/cluster_test.go
+++ b/server/cluster_test.go
@@ -13,7 +13,6 @@
 	"bergamotcroft.example/bergamot/emulator/engine"
 	emulator "bergamotcroft.example/bergamot/emulator/platform"
 	"bergamotcroft.example/bergamot/gateway"
-	"bergamotcroft.example/bergamot/internal/knownred"
 	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/settings"
 	"bergamotcroft.example/bergamot/topo"
@@ -67,7 +66,6 @@
 
 // Guards against a poison request that two entry VMs run at the same time and that crashes more than two engines in total.
 func TestPoisonAtTwoEntryVMsAtOnce(t *testing.T) {
-	knownred.Skip(t)
 	is := is.New(t)
 	f := newFleet(t, fastEngine("e1"), fastEngine("e2"), fastEngine("e3"), fastEngine("e4"), fastEngine("e5"))
 	c := f.startCluster(3)
