bergamotd: the test of a late stop signal connects while the process stands still

Cause: the test. It opened a connection before it suspended the process for 2 s and sent the request 3.2 s after the signal. If the process had accepted the connection before it was suspended, the header time limit of 3 s, which the operators set, was over by then, and net/http closed a connection that had carried nothing.

Change: the test waits until the process stands still and connects then. It checks what it did: the connection is open, the request comes as late and has to be refused as not run. It fails if the stop is planned from when the signal is handled.

--- a/cmd/bergamotd/stop_test.go
+++ b/cmd/bergamotd/stop_test.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// suspend stops a process and waits until it stands still.
+func suspend(t *testing.T, p *os.Process) {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(p.Signal(syscall.SIGSTOP))
+	var status syscall.WaitStatus
+	_, err := syscall.Wait4(p.Pid, &status, syscall.WUNTRACED, nil)
+	is.NoErr(err)
+	is.True(status.Stopped())
+}
+
 // Guards against a stop whose time counts from when its signal is handled, not from when it was sent.
 func TestAStopIsPlannedFromWhenItsSignalWasSent(t *testing.T) {
 	if testing.Short() {
@@ -91,10 +102,11 @@
 	}
 	is := is.New(t)
 	cmd, address := startEdge(t, func(standin.Run) {})
+	suspend(t, cmd.Process)
+	// The process accepts the connection when it goes on: one that has carried nothing for the header time limit may be closed.
 	conn, err := standin.Dial(t.Context(), address)
 	is.NoErr(err)
 	defer conn.Close()
-	is.NoErr(cmd.Process.Signal(syscall.SIGSTOP))
 	is.NoErr(cmd.Process.Signal(syscall.SIGTERM))
 	sent := time.Now()
 	time.AfterFunc(time.Until(sent.Add(testGrace)), func() { _ = cmd.Process.Kill() }) // fails if it has ended
