--- a/catalog/outage_test.go
+++ b/catalog/outage_test.go
@@ -9,8 +9,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a follower that keeps an upstream for good that expired in an outage, because another change came before its watcher
-// removed it.
+// Guards against a follower that keeps an upstream that expired in an outage, because another change came before the watcher's removal.
 func TestFollowersDropUpstreamsThatExpiredInAnOutage(t *testing.T) {
 	const goneWithin = 2*time.Second + 3*time.Second // upstreams return within 2 s, and a large fleet has 3 s to stop using one
 	for _, outage := range []time.Duration{2700 * time.Millisecond, 3500 * time.Millisecond, 5 * time.Second, 8 * time.Second} {
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -104,8 +104,7 @@
 	})
 }
 
-// Guards against a hedge that counts as slower than another attempt although neither was answered, so that its silent upstream is not
-// probed.
+// Guards against a silent upstream that is not probed because its hedge counts as slower than an attempt that was not answered either.
 func TestAHedgeOfARequestThatIsGivenUpIsNotSuperseded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
