--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -160,32 +160,39 @@
 	if len(events) == 0 {
 		return max(next, from), nil
 	}
-	dropped := false
-	c.update(func(now time.Time) bool {
+	err = c.updateFromStore(kind, func(now time.Time) bool {
 		changed := false
+		c.noteRevision(now, next)
 		if kind == c.opts.Kinds.Upstreams {
-			if dropped = c.following; dropped {
-				return false
-			}
 			c.listedRevision = max(c.listedRevision, next)
 		}
-		c.noteRevision(now, next)
 		for _, e := range events {
 			changed = apply(now, e) || changed
 		}
 		return changed
 	})
-	if dropped {
-		return from, errFollowing
+	if err != nil {
+		return from, err
 	}
 	_ = c.opts.Clock.Sleep(ctx, settleDelay) // watchKind checks whether ctx has ended
 	return max(next, from), nil
 }
 
-// errFollowing is the error of a call whose result is dropped because the state comes from a watcher since it began. The watcher may never
-// learn of an entry in it that was removed at once.
 var errFollowing = errors.New("a watcher is followed")
 
+// updateFromStore is update for the result of a call to the store. If a watcher has been followed since the call began, upstreams are
+// dropped with errFollowing: the watcher may never learn of an entry that was removed at once.
+func (c *Catalog) updateFromStore(kind string, f func(now time.Time) bool) (err error) {
+	c.update(func(now time.Time) bool {
+		if c.following && kind == c.opts.Kinds.Upstreams {
+			err = errFollowing
+			return false
+		}
+		return f(now)
+	})
+	return err
+}
+
 func (c *Catalog) configurationEvent(_ time.Time, e store.Event) bool {
 	if e.Deleted || e.Object.Name != c.opts.Kinds.Name {
 		return false
@@ -223,13 +230,9 @@
 	if err != nil {
 		return 0, err
 	}
-	dropped := false
-	c.update(func(now time.Time) bool {
+	err = c.updateFromStore(c.opts.Kinds.Upstreams, func(now time.Time) bool {
 		changed := false
 		listed := map[string]bool{}
-		if dropped = c.following; dropped {
-			return false
-		}
 		if revision < c.listedRevision {
 			return false // a newer list or watch was applied first
 		}
@@ -249,10 +252,7 @@
 		}
 		return changed
 	})
-	if dropped {
-		return 0, errFollowing
-	}
-	return revision, nil
+	return revision, err
 }
 
 // recordReachable records that the store has answered a call for a kind.
