conns: ReportRefusal calls back for an early refusal too

Both users of RefusesConnections called the same function for a refusal in time and passed it for a later one. The pool calls it in either case now. The comment on runs that another attempt has beaten moves to the function that decides on it. Behaviour is the same.

--- a/conns/pool.go
+++ b/conns/pool.go
@@ -279,24 +279,21 @@
 	}
 }
 
-// RefusesConnections reports whether an address is known, after probeWait at most, to refuse connections, as after the end of its process.
-// If the refusal comes later, for example because a packet was lost, late is called in a goroutine of its own. Concurrent calls share one
-// probe, whose result is reused for probeTTL.
-func (p *Pool) RefusesConnections(ctx context.Context, address string, late func()) bool {
+// ReportRefusal calls refused if an address refuses connections, as after the end of its process. It waits for probeWait at most and
+// returns whether it has called refused; a refusal that comes later, for example because a packet was lost, is reported by a goroutine of
+// its own. Concurrent calls share one probe, whose result is reused for probeTTL.
+func (p *Pool) ReportRefusal(ctx context.Context, address string, refused func()) bool {
 	t := p.probe(address)
 	wait := time.NewTimer(probeWait)
 	defer wait.Stop()
 	select {
 	case <-t.done:
+		t.report(refused)
 		return t.refused
 	case <-wait.C:
 	case <-ctx.Done():
 	}
-	go func() {
-		if <-t.done; t.refused {
-			late()
-		}
-	}()
+	go t.report(refused)
 	return false
 }
 
@@ -331,6 +328,13 @@
 	t.refused = errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// report waits for the end of the probe and calls refused if the connection was refused.
+func (t *dialProbe) report(refused func()) {
+	if <-t.done; t.refused {
+		refused()
+	}
+}
+
 // expired reports whether the probe has ended and its result is too old to be reused.
 func (t *dialProbe) expired(now time.Time) bool {
 	select {
--- a/conns/probe_test.go
+++ b/conns/probe_test.go
@@ -18,7 +18,7 @@
 	defer p.Close()
 	late := make(chan struct{}, 2)
 	for range 2 { // both share one probe
-		is.True(!p.RefusesConnections(t.Context(), address, func() { late <- struct{}{} }))
+		is.True(!p.ReportRefusal(t.Context(), address, func() { late <- struct{}{} }))
 	}
 	end()
 	for range 2 {
@@ -28,9 +28,8 @@
 			t.Fatal("the refusal was not reported")
 		}
 	}
-	if !p.RefusesConnections(t.Context(), address, func() { late <- struct{}{} }) {
-		<-late
-	}
+	p.ReportRefusal(t.Context(), address, func() { late <- struct{}{} })
+	<-late
 	is.Equal(len(late), 0) // each call reports once
 }
 
@@ -40,5 +39,5 @@
 	s := startScripted(t)
 	p := New(Options{})
 	defer p.Close()
-	is.True(!p.RefusesConnections(t.Context(), s.Addr().String(), func() { t.Error("reported as refused") }))
+	is.True(!p.ReportRefusal(t.Context(), s.Addr().String(), func() { t.Error("reported as refused") }))
 }
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -111,21 +111,20 @@
 		return r.abandon(ctx)
 	}
 	r.ended = true
-	refused := f.whenRefused(r.to.Name)
 	crashes, crashed := f.opts.Crashes.RunBroken(r.x.fingerprint, r.to.Name)
 	switch {
 	case crashed:
 		f.recordCrash(r.x.fingerprint, r.to.Name, "process had ended", crashes)
 		return "counted"
-	case e.Reset && f.opts.Pool.RefusesConnections(ctx, r.to.Address, refused):
-		refused()
+	case e.Reset && f.opts.Pool.ReportRefusal(ctx, r.to.Address, f.whenRefused(r.to.Name)):
 		return "counted"
 	}
 	return "process end not confirmed"
 }
 
 // abandon records that the run has ended without a sign of its upstream. If the upstream has answered nothing since it was sent, its
-// address is probed, whoever gave the run up: a process may end without closing its connections.
+// address is probed, whoever gave the run up: a process may end without closing its connections. A run that another attempt has beaten
+// shows no more than that its upstream is slower.
 func (r *run) abandon(ctx context.Context) string {
 	if r.ended {
 		return "cancelled"
@@ -137,13 +136,8 @@
 		f.recordCrash(r.x.fingerprint, r.to.Name, "silent, process had ended", crashes)
 		return "counted"
 	}
-	if silent && !gateway.Superseded(ctx) { // a hedge that wins says little of the slower upstream
-		refused, address := f.whenRefused(r.to.Name), r.to.Address
-		go func() {
-			if f.opts.Pool.RefusesConnections(context.Background(), address, refused) {
-				refused()
-			}
-		}()
+	if silent && !gateway.Superseded(ctx) {
+		go f.opts.Pool.ReportRefusal(context.Background(), r.to.Address, f.whenRefused(r.to.Name))
 	}
 	return "cancelled"
 }
