--- a/catalog/exchange_test.go
+++ b/catalog/exchange_test.go
@@ -51,6 +51,20 @@
 	w.unreachable = unreachable
 }
 
+// follow returns the options of a follower of the watchers with these addresses.
+func follow(peers Peers, watchers ...string) Options {
+	return Options{Peers: peers, Watchers: func() []string { return watchers }}
+}
+
+// runFollowed runs a watcher and, two seconds later, its follower, and returns them after two more.
+func runFollowed(run func(o Options) *Catalog) (watcher, follower *Catalog) {
+	watcher = run(Options{})
+	time.Sleep(2 * time.Second)
+	follower = run(follow(&fakeWatcher{watched: watcher}, "w"))
+	time.Sleep(2 * time.Second)
+	return watcher, follower
+}
+
 // Guards against store calls that grow with the fleet, a follower that receives changes late, and one that keeps an old state
 // after its watcher has become unreachable or has lost the store.
 func TestFollowersReceiveChangesFromWatchers(t *testing.T) {
@@ -59,7 +73,7 @@
 		leader := run(Options{})
 		time.Sleep(time.Second)
 		w := &fakeWatcher{watched: leader}
-		follower := run(Options{Peers: w, Watchers: func() []string { return []string{"w"} }})
+		follower := run(follow(w, "w"))
 		time.Sleep(3 * time.Second)
 		is.Equal(version(follower), uint64(1))
 		is.Equal(names(follower), "ab")
@@ -152,7 +166,7 @@
 		reached.changed, cut.changed = make(chan struct{}), make(chan struct{})
 		peers := watchersByAddress{"first": {watched: run(Options{Store: cut})}, "second": {watched: run(Options{Store: reached})}}
 		time.Sleep(time.Second)
-		follower := run(Options{Peers: peers, Watchers: func() []string { return []string{"first", "second"} }})
+		follower := run(follow(peers, "first", "second"))
 		time.Sleep(3 * time.Second)
 		is.Equal(version(follower), uint64(1))
 
@@ -189,7 +203,7 @@
 		runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
 			peers := watchersByAddress{"first": {watched: run(Options{})}, "second": {watched: run(Options{})}}
 			time.Sleep(time.Second)
-			follower := run(Options{Peers: peers, Watchers: func() []string { return []string{"first", "second"} }})
+			follower := run(follow(peers, "first", "second"))
 			time.Sleep(3*time.Second + time.Duration(phase)*210*time.Millisecond)
 			for _, w := range peers {
 				w.mu.Lock()
@@ -207,10 +221,7 @@
 func TestFollowersGetUpstreamsBesideAConfiguration(t *testing.T) {
 	f := newServingStore("a", "b")
 	runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
-		leader := run(Options{})
-		time.Sleep(2 * time.Second)
-		follower := run(Options{Peers: &fakeWatcher{watched: leader}, Watchers: func() []string { return []string{"w"} }})
-		time.Sleep(2 * time.Second)
+		leader, follower := runFollowed(run)
 		is.Equal(names(follower), "ab")
 		f.put("servers", "a", `{"s":"y"}`) // the watcher pauses after an event
 		time.Sleep(settleDelay / 4)
--- a/catalog/outage_test.go
+++ b/catalog/outage_test.go
@@ -17,10 +17,7 @@
 			t.Run(fmt.Sprintf("outage=%s,change=%s", outage, offset), func(t *testing.T) {
 				f := newServingStore("a", "b", "c")
 				runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
-					leader := run(Options{})
-					time.Sleep(2 * time.Second)
-					follower := run(Options{Peers: &fakeWatcher{watched: leader}, Watchers: func() []string { return []string{"w"} }})
-					time.Sleep(2 * time.Second)
+					leader, follower := runFollowed(run)
 					is.Equal(names(follower), "abc")
 					f.update(func() { f.down = true })
 					time.Sleep(outage - time.Second)
@@ -59,7 +56,9 @@
 				first, second := run(Options{Store: stores[0]}), run(Options{Store: stores[1]})
 				time.Sleep(time.Second)
 				peers := watchersByAddress{"first": {watched: first}, "second": {watched: second}}
-				follower := run(Options{Store: stores[2], Peers: peers, Watchers: func() []string { return []string{"first", "second"} }})
+				followed := follow(peers, "first", "second")
+				followed.Store = stores[2]
+				follower := run(followed)
 				time.Sleep(2 * time.Second)
 				for range steps {
 					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
--- a/catalog/silence_test.go
+++ b/catalog/silence_test.go
@@ -60,10 +60,7 @@
 func TestAFollowersRemovalDuringASilenceIsInForceInTime(t *testing.T) {
 	f := newServingStore("a", "b")
 	runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
-		watcher := run(Options{})
-		time.Sleep(2 * time.Second)
-		follower := run(Options{Peers: &fakeWatcher{watched: watcher}, Watchers: func() []string { return []string{"w"} }})
-		time.Sleep(2 * time.Second)
+		_, follower := runFollowed(run)
 		f.update(func() { f.silences++ })
 		time.Sleep(100 * time.Millisecond)
 		f.remove("servers", "a")
@@ -111,9 +108,7 @@
 				time.Sleep(time.Second)
 				second := run(Options{})
 				time.Sleep(time.Second)
-				follower := run(Options{
-					Peers: watchersByAddress{"first": {watched: first}, "second": {watched: second}}, Watchers: func() []string { return []string{"first", "second"} },
-				})
+				follower := run(follow(watchersByAddress{"first": {watched: first}, "second": {watched: second}}, "first", "second"))
 				time.Sleep(time.Second + offset)
 				cut.cut.Store(true)
 				f.remove("servers", "a")
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// runHedged runs the first attempt of a request and starts its hedge. The result of the attempt is sent to ended.
+func runHedged(ctx context.Context, g *Gateway, f *inFlight) (act action, ended chan error) {
+	act, ended = action{attempt: 1}, make(chan error, 1)
+	go func() { ended <- g.runAttempt(ctx, f, &act) }()
+	synctest.Wait()
+	g.startHedge(f, act)
+	synctest.Wait()
+	return act, ended
+}
+
 // Guards against two hedges of one attempt that both provide the answer, so that the caller gets its events twice.
 func TestAnAttemptHasOneHedge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -86,12 +96,7 @@
 			}
 			return nil
 		}
-		act := action{attempt: 1}
-		ended := make(chan error, 1)
-		go func() { ended <- g.runAttempt(t.Context(), f, &act) }()
-		synctest.Wait()
-		g.startHedge(f, act)
-		synctest.Wait()
+		act, ended := runHedged(t.Context(), g, f)
 		close(firstFails)
 		synctest.Wait()
 		g.startHedge(f, act)
@@ -117,12 +122,7 @@
 			superseded[act.hedge] = Superseded(ctx)
 			return &upstream.Failure{Outcome: policy.Cancelled, Cause: ctx.Err()}
 		}
-		act := action{attempt: 1}
-		ended := make(chan error, 1)
-		go func() { ended <- g.runAttempt(t.Context(), f, &act) }()
-		synctest.Wait()
-		g.startHedge(f, act)
-		synctest.Wait()
+		act, ended := runHedged(t.Context(), g, f)
 		f.preempt(act.attempt)
 		is.True(errors.Is(<-ended, errPreempted))
 		synctest.Wait()
