--- a/roles/roles.go
+++ b/roles/roles.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"bergamotcroft.example/bergamot/duty"
 	"bergamotcroft.example/bergamot/lease"
 	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/topo"
@@ -103,16 +104,10 @@
 // Controller sends orders while this entry VM holds the lease.
 type Controller struct {
 	opts          Options
-	pendingOrders map[string]pendingOrder // by engine name
+	pendingOrders duty.Pending[string, topo.Role] // by engine name
 	sets          map[string]*setState
 }
 
-// pendingOrder is an order that the engine may not have carried out yet.
-type pendingOrder struct {
-	role  topo.Role
-	until time.Time
-}
-
 // setState is the state of a set that is kept between steps.
 type setState struct {
 	members     string
@@ -131,23 +126,18 @@
 	if o.PromptShare <= 0 {
 		o.PromptShare = DefaultPromptShare
 	}
-	return &Controller{opts: o, pendingOrders: map[string]pendingOrder{}, sets: map[string]*setState{}}
+	return &Controller{opts: o, pendingOrders: duty.Pending[string, topo.Role]{}, sets: map[string]*setState{}}
 }
 
 // Run checks the sets periodically until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	for c.opts.Clock.Sleep(ctx, checkInterval) == nil {
-		if t, err := c.opts.Lease.Check(c.opts.Group, 2*sendTimeout); err == nil && c.handOverPauseOver(t) {
-			c.Step(ctx)
-		}
-	}
-	return nil
+	return duty.Run(ctx, c.duty(), func(ctx context.Context, _ lease.Token) { c.Step(ctx) })
 }
 
-// handOverPauseOver reports whether HandOverPause has passed since this entry VM took over the lease. The first holder
-// ever has no predecessor to wait for.
-func (c *Controller) handOverPauseOver(t lease.Token) bool {
-	return t.Fencing <= 1 || c.opts.Clock.Now().Sub(t.Since) >= c.opts.HandOverPause
+func (c *Controller) duty() duty.Options {
+	return duty.Options{
+		Lease: c.opts.Lease, Group: c.opts.Group, Margin: 2 * sendTimeout, HandOverPause: c.opts.HandOverPause, Interval: checkInterval, Clock: c.opts.Clock,
+	}
 }
 
 // Step sends the orders that are due. It must only be called while the lease is held.
@@ -198,13 +188,13 @@
 func (c *Controller) withPendingRoles(now time.Time, list []Engine) []Engine {
 	out := slices.Clone(list)
 	for i := range out {
-		p, ok := c.pendingOrders[out[i].Name]
+		role, ok := c.pendingOrders.Get(now, out[i].Name)
 		switch {
 		case !ok:
-		case out[i].Role == p.role || !now.Before(p.until):
+		case out[i].Role == role:
 			delete(c.pendingOrders, out[i].Name)
 		default:
-			out[i].Role = p.role
+			out[i].Role = role
 		}
 	}
 	return out
@@ -254,7 +244,7 @@
 	if err != nil || status.Busy || status.Role == e.Role {
 		c.opts.Log.Info("role order not sent", zap.String("upstream", e.Name), zap.String("role", string(e.Role)), zap.Bool("busy", status.Busy),
 			zap.String("has", string(status.Role)), zap.Error(err))
-		c.pendingOrders[e.Name] = pendingOrder{e.Role, c.opts.Clock.Now().Add(busyChangeInterval)}
+		c.pendingOrders.Add(e.Name, e.Role, c.opts.Clock.Now().Add(busyChangeInterval))
 		return true
 	}
 	o := Order{Role: e.Role, Holder: c.opts.Holder, Fencing: token.Fencing, Expect: status.OrdersAccepted}
@@ -266,12 +256,12 @@
 	switch {
 	case err != nil: // the order may still be carried out
 		ordersUnanswered.Inc()
-		c.pendingOrders[e.Name] = pendingOrder{e.Role, now.Add(unansweredTimeout)}
+		c.pendingOrders.Add(e.Name, e.Role, now.Add(unansweredTimeout))
 	case answer == Accepted:
-		c.pendingOrders[e.Name] = pendingOrder{e.Role, now.Add(roleChangeTimeout)}
+		c.pendingOrders.Add(e.Name, e.Role, now.Add(roleChangeTimeout))
 	case answer == Refused:
 		ordersRefused.Inc()
-		c.pendingOrders[e.Name] = pendingOrder{e.Role, now.Add(busyChangeInterval)}
+		c.pendingOrders.Add(e.Name, e.Role, now.Add(busyChangeInterval))
 	case answer == Stale:
 		ordersRefused.Inc()
 	}
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -70,7 +70,7 @@
 // runFor runs the controller's steps for d.
 func (w *fixture) runFor(d time.Duration) {
 	for end := w.clock.now.Add(d); w.clock.now.Before(end); w.clock.now = w.clock.now.Add(checkInterval) {
-		if t, err := w.lease.Check(0, 0); err == nil && w.c.handOverPauseOver(t) {
+		if _, ok := w.c.duty().Holds(); ok {
 			w.c.Step(context.Background())
 		}
 	}
