routing: plan moves of KV cache with the engines' stated figures

Cause: routing.measured plans every move with 20,000 B a token and 12 GB/s, though the operator states both for each engine.

Change: upstreamOf passes KV tokens, bytes a token and link bandwidth to topo.Upstream; slots were there as MaxBatch.

No effect on served load is measured yet.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -42,11 +42,13 @@
 	Settings *platform.Settings
 	Metrics  string // address of the metrics listener; empty: none
 	Log      *zap.Logger
+	Uneven   Uneven
 }
 
 // Edge is the process of one entry VM.
 type Edge struct {
 	settings          *platform.Settings
+	uneven            Uneven
 	log               *zap.Logger
 	boot              uint64
 	objects           *platform.Objects
@@ -75,7 +77,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}}
+	e := &Edge{settings: o.Settings, uneven: o.Uneven, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}}
 	limitRuntime(o.Settings.ResourceLimits)
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
 	e.pool = conns.New(conns.Options{})
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -41,12 +41,13 @@
 // kept about the previous process does not apply to the new one.
 func TestStartsHaveNamesOfTheirOwn(t *testing.T) {
 	is := is.New(t)
-	s := &catalog.State{Table: routes.New(1, nil, map[string]*routes.Service{"s": {Engine: &routes.Engine{KVTokens: 9000}}}, routes.Limits{})}
+	s := &catalog.State{Table: routes.New(1, nil, map[string]*routes.Service{"s": {Engine: &routes.Engine{KVTokens: 9000, KVBytesPerToken: 163840, LinkBytesPerS: 225e9}}}, routes.Limits{})}
 	x := catalog.Entry{ID: "i-1", StartTimeMS: 5, Service: "s", Role: topo.RoleDecode, Models: []string{"m"}, Leaving: true}
 	first, ok := upstreamOf(s, &x)
 	is.True(ok)
 	is.Equal(first.State, topo.UpstreamDraining)
 	is.Equal(first.KVPieces, 9)
+	is.Equal([]float64{float64(first.KVTokens), first.KVBytesPerToken, first.LinkBytesPerS}, []float64{9000, 163840, 225e9}) // for the router
 	x.StartTimeMS = 6
 	second, _ := upstreamOf(s, &x)
 	is.True(first.Name != second.Name)
--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -25,7 +25,7 @@
 		return nil, trace.Wrap(err)
 	}
 	if m, ok := router.(*routing.Measured); ok {
-		m.DataCentre = e.settings.DataCentre
+		e.configureRouter(m)
 	}
 	admitter, err := kernel.Load[policy.Admitter]("admission.patience", nil)
 	if err != nil {
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -106,6 +106,7 @@
 		return u, true
 	}
 	u.Kind, u.KVPieces = topo.KindEngine, engine.KVTokens/policy.PieceTokens
+	u.KVTokens, u.KVBytesPerToken, u.LinkBytesPerS = engine.KVTokens, engine.KVBytesPerToken, engine.LinkBytesPerS
 	for _, m := range x.Models {
 		u.Models = append(u.Models, forward.EngineModel(x.Service, m))
 	}
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -39,6 +39,7 @@
 	Oversubscribe float64 `json:"oversubscribe"`    // streams per batch slot above which requests wait in the entry VM
 	MoveBytesPerS float64 `json:"move_bytes_per_s"` // bandwidth of an engine's link for KV cache
 	TokenBytes    float64 `json:"token_bytes"`      // bytes of KV cache per token
+	UseFigures    bool    `json:"use_figures"`      // the specification's figures, where stated, replace move_bytes_per_s and token_bytes
 	DataCentre    string  `json:"data_centre"`      // of this entry VM; empty: distances are not charged
 
 	state        uint64
@@ -297,15 +298,6 @@
 	return q
 }
 
-// moveSeconds returns the time to move the KV cache of this many tokens between two engines.
-func (p *Measured) moveSeconds(tokens float64, from, to *policy.Upstream) float64 {
-	t := tokens * p.TokenBytes / p.MoveBytesPerS
-	if from.Spec.DataCentre != to.Spec.DataCentre {
-		t *= 2
-	}
-	return t
-}
-
 func (p *Measured) handOverSeconds(r *policy.Request, from, to *policy.Upstream) float64 {
 	return p.HandOverMS/1000 + p.moveSeconds(float64(r.PromptTokens), from, to)
 }
--- a/topo/topo.go
+++ b/topo/topo.go
@@ -88,7 +88,10 @@
 	DecodeTokensPerSecond  float64  `json:"decode_tokens_per_s,omitempty"`
 	MaxBatch               int      `json:"max_batch,omitempty"` // concurrent streams; for services concurrent calls
 	KVPieces               int      `json:"kv_pieces,omitempty"` // KV memory in pieces of about 1,000 tokens
-	Role                   Role     `json:"role,omitempty"`      // empty: both
+	KVTokens               int      `json:"kv_tokens,omitempty"` // KV memory in tokens; 0: not stated
+	KVBytesPerToken        float64  `json:"kv_bytes_per_token,omitempty"`
+	LinkBytesPerS          float64  `json:"link_bytes_per_s,omitempty"` // bandwidth of the engine's KV transfers; 0: not stated
+	Role                   Role     `json:"role,omitempty"`             // empty: both
 	RoleChangeMS           int      `json:"role_change_ms,omitempty"`
 	ReportLagMS            int      `json:"report_lag_ms,omitempty"`
 	ChecksFencing          bool     `json:"checks_fencing,omitempty"` // refuses orders with an old fencing number
