edge: name VMs to clients by what each can carry

Cause: the directory lists all VMs equally, so clients load a VM of 0.144 core like one of 0.8; the busiest VM of deployment A used 1.8 times the mean CPU time.

Members then advertise hundredths of a core, since tenths make 0.144 and 0.192 equal.

No load is measured yet.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -159,7 +159,7 @@
 	e.list, err = membership.New(membership.Options{
 		Self: membership.Member{
 			Name: e.settings.VM, Address: net.JoinHostPort(e.settings.IP, e.peerPort(membershipPort)), PeerAddress: address,
-			CallerAddress: e.settings.Listen.Callers, DataCentre: e.settings.DataCentre, Cores: max(int(e.settings.ResourceLimits.CPUs*coreUnitsPerCore), 1),
+			CallerAddress: e.settings.Listen.Callers, DataCentre: e.settings.DataCentre, Cores: e.advertisedCores(),
 		},
 		Transport: udp, Secret: e.settings.PeerSecret, Exchanger: e.peers, Seeds: excluding(e.settings.Seeds, address), VMs: e.objects.VMs, PeerPort: port,
 		ListInterval: listInterval, Log: e.log,
@@ -174,9 +174,8 @@
 }
 
 const (
-	peerTimeout      = 3 * time.Second  // for a follower's call, which waits for a change; other calls have their own bounds
-	listInterval     = 60 * time.Second // between reads of the entry VMs' records; heartbeats carry changes in between
-	coreUnitsPerCore = 10               // members advertise tenths of a core, since VMs have fractions of one
+	peerTimeout  = 3 * time.Second  // for a follower's call, which waits for a change; other calls have their own bounds
+	listInterval = 60 * time.Second // between reads of the entry VMs' records; heartbeats carry changes in between
 )
 
 func excluding(list []string, address string) []string {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"bergamotcroft.example/bergamot/forward"
-	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/platform"
 )
 
@@ -162,48 +160,6 @@
 	}
 }
 
-// addressTTL is the TTL of the directory's answers. Some callers keep an answer three times as long; a stopping process
-// must outlive that.
-const addressTTL = time.Second
-
-// addresses returns the caller addresses of the entry VMs that take callers, those of dataCentre first, and their TTL.
-func (e *Edge) addresses(dataCentre string) ([]string, time.Duration) {
-	now := time.Now()
-	all := e.list.Members()
-	list := listableMembers(all, e.settings.VM, e.ready(), func(m *membership.Member) bool {
-		return m.Suspect || e.loads.IsSilent(now, m, len(all))
-	})
-	var near, far []string
-	for _, m := range list {
-		if m.DataCentre == dataCentre {
-			near = append(near, m.CallerAddress)
-		} else {
-			far = append(far, m.CallerAddress)
-		}
-	}
-	return append(slices.Clip(near), far...), min(addressTTL, max(e.settings.Bounds.MaxAddressTTL, 0))
-}
-
-// listableMembers returns the members that callers may be directed to. Doubtful ones are left out while they are a
-// minority: if most members seem unreachable, this VM's own links are the likely cause.
-func listableMembers(all []membership.Member, self string, ready bool, doubtful func(*membership.Member) bool) []membership.Member {
-	var sound, suspect []membership.Member
-	for i := range all {
-		m := all[i]
-		switch {
-		case m.CallerAddress == "" || m.State != membership.Alive || m.Name == self && !ready:
-		case m.Name != self && doubtful(&m):
-			suspect = append(suspect, m)
-		default:
-			sound = append(sound, m)
-		}
-	}
-	if len(suspect) > len(sound) {
-		return append(sound, suspect...) // this VM is more likely to be cut off itself
-	}
-	return sound
-}
-
 // Durations of a stop.
 const (
 	// addressDrainTime is how long callers may still use an address that they have cached.
--- a/edge/uneven.go
+++ b/edge/uneven.go
@@ -1,12 +1,19 @@
 package edge
 
-import "bergamotcroft.example/bergamot/policy/routing"
+import (
+	"math"
+
+	"bergamotcroft.example/bergamot/policy/routing"
+)
 
 // Uneven switches the behaviour for engines and VMs of different sizes. The zero value serves as a deployment of equal ones;
 // see docs/design/uneven.md.
 type Uneven struct {
 	// EngineFigures plans moves of KV cache with the figures that the configuration states for the engines.
 	EngineFigures bool
+	// WeightedDirectory names VMs to clients by what each can carry. All VMs of a deployment need the same setting, since it changes
+	// the unit of the size that members advertise. Small fleets of equal VMs are listed as before.
+	WeightedDirectory bool
 }
 
 // configureRouter applies the switches to the router.
@@ -14,3 +21,25 @@
 	m.DataCentre = e.settings.DataCentre
 	m.UseFigures = e.uneven.EngineFigures
 }
+
+const (
+	coreUnitsPerCore = 10 // members advertise tenths of a core, since VMs have fractions of one
+	// capacityUnitsPerCore is the unit with a weighted directory: tenths would make 0.144 and 0.192 core equal.
+	capacityUnitsPerCore = 100
+	// linkMbpsPerCore is the traffic that a busy core relays: an event takes 45 us (docs/CAPACITY.md) and, as assumed, 200 bytes.
+	linkMbpsPerCore = 35
+)
+
+// advertisedCores returns the size of this VM that members know. With a weighted directory it is the lesser of what its CPU and its
+// link can carry.
+func (e *Edge) advertisedCores() int {
+	r := e.settings.ResourceLimits
+	if !e.uneven.WeightedDirectory {
+		return max(int(r.CPUs*coreUnitsPerCore), 1)
+	}
+	cores := r.CPUs
+	if r.LinkMbps > 0 {
+		cores = min(cores, r.LinkMbps/linkMbpsPerCore)
+	}
+	return max(int(math.Round(cores*capacityUnitsPerCore)), 1)
+}
