spill: shares and gains decide which prompts leave a data centre

Cause: routing.measured charges 2 ms per 1,000 prompt tokens for another data centre, whatever the load, so each VM sends by its own comparison of late reports and none knows how much leaves together.

Change: policy.Spill with the plug-in spill.gain. Each VM computes the share of its data centre's demand that goes to each other one from the difference of the mean waits, with hysteresis and damping by the age of reports; a request goes if its own gain exceeds bytes and delay. routing.measured asks it where its field Spill is set (edge.Uneven.Spill, off by default) and is unchanged otherwise.

No load is measured yet.

--- a/edge/directory_test.go
+++ b/edge/directory_test.go
@@ -125,3 +125,16 @@
 	e.settings.ResourceLimits.LinkMbps = 0
 	is.Equal(e.advertisedCores(), 48)
 }
+
+// Guards against shares for a data centre that this VM hears nothing of, whose engines would look idle.
+func TestHeardDataCentres(t *testing.T) {
+	is := is.New(t)
+	all := []membership.Member{
+		{Name: "a", DataCentre: "x"}, {Name: "b", DataCentre: "y", Suspect: true}, {Name: "c", DataCentre: "y", State: membership.Uncertain},
+	}
+	heard, alone := heardDataCentres(all, "a")
+	is.Equal([]bool{heard["x"], heard["y"], alone}, []bool{true, false, true})
+	all[1].Suspect = false
+	heard, alone = heardDataCentres(all, "a")
+	is.Equal([]bool{heard["x"], heard["y"], alone}, []bool{true, true, false})
+}
--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -25,7 +25,9 @@
 		return nil, trace.Wrap(err)
 	}
 	if m, ok := router.(*routing.Measured); ok {
-		e.configureRouter(m)
+		if err := e.configureRouter(m); err != nil {
+			return nil, err
+		}
 	}
 	admitter, err := kernel.Load[policy.Admitter]("admission.patience", nil)
 	if err != nil {
--- a/edge/uneven.go
+++ b/edge/uneven.go
@@ -14,12 +14,18 @@
 	// WeightedDirectory names VMs to clients by what each can carry. All VMs of a deployment need the same setting, since it changes
 	// the unit of the size that members advertise. Small fleets of equal VMs are listed as before.
 	WeightedDirectory bool
+	// Spill lets spill.gain decide which requests go to another data centre; see docs/design/leaving-the-data-centre.md.
+	Spill bool
 }
 
 // configureRouter applies the switches to the router.
-func (e *Edge) configureRouter(m *routing.Measured) {
+func (e *Edge) configureRouter(m *routing.Measured) error {
 	m.DataCentre = e.settings.DataCentre
 	m.UseFigures = e.uneven.EngineFigures
+	if e.uneven.Spill {
+		return e.addSpill(m)
+	}
+	return nil
 }
 
 const (
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -103,6 +103,7 @@
 	HedgeCached    int
 	HedgeAt        time.Duration
 	HedgeNominal   time.Duration // NominalFirst of the second attempt
+	SpillReason    SpillReason   // reason for the last choice of another data centre
 
 	// Set by the admitter on first admission.
 	Tagged bool
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -42,10 +42,16 @@
 	UseFigures    bool    `json:"use_figures"`      // the specification's figures, where stated, replace move_bytes_per_s and token_bytes
 	DataCentre    string  `json:"data_centre"`      // of this entry VM; empty: distances are not charged
 
+	// Spill decides which requests go to another data centre, in place of DistanceMS; nil: DistanceMS applies.
+	Spill policy.Spill `json:"-"`
+	// Heard returns the data centres whose entry VMs have been heard from recently, and whether no other VM has; nil: all are.
+	Heard func() (dataCentres map[string]bool, alone bool) `json:"-"`
+
 	state        uint64
 	rates        []engineRate
 	typicalRates [2]float64 // smoothed rates of all engines, by rateClass
 	tokenSeconds float64    // time of one output token
+	spill        spillState
 }
 
 type engineRate struct {
@@ -120,6 +126,9 @@
 // were not reported yet make an engine look slow, so a rate rises faster than it falls.
 func (p *Measured) Learn(now time.Duration, r *policy.Request, f *policy.Fleet, took time.Duration, done bool) {
 	u := f.Upstreams[r.Prefill]
+	if done {
+		p.noteSent(r, u)
+	}
 	work := r.Work(r.Cached) + r.Backlog
 	if work < minLearnedTokens {
 		return
@@ -171,7 +180,11 @@
 	var best plan
 	var withPermit *policy.Upstream
 	for relaxed := range 2 {
-		best, withPermit = p.bestPlan(now, r, f, list, relaxed == 1)
+		if p.spills(r) {
+			best, withPermit = p.bestPlanWithSpill(now, r, f, list, relaxed == 1)
+		} else {
+			best, withPermit = p.bestPlan(now, r, f, list, list, relaxed == 1)
+		}
 		if best.prefill != nil {
 			break
 		}
@@ -188,11 +201,16 @@
 }
 
 // bestPlan returns the plan with the least score, without a prefill engine if there is none, and the limited engine of a
-// better plan that lacks only a permit, or nil.
-func (p *Measured) bestPlan(now time.Duration, r *policy.Request, f *policy.Fleet, list []int, relaxed bool) (best plan, withPermit *policy.Upstream) {
+// better plan that lacks only a permit, or nil. Cached pieces may be fetched from all engines in sources, which contains list.
+func (p *Measured) bestPlan(now time.Duration, r *policy.Request, f *policy.Fleet, list, sources []int, relaxed bool) (best plan, withPermit *policy.Upstream) {
 	best = plan{score: math.Inf(1)}
 	leastWithPermit := math.Inf(1)
 	holder, held := p.cacheHolder(r, f, list)
+	if len(sources) > len(list) {
+		if h, n := p.cacheHolder(r, f, sources); n > held {
+			holder, held = h, n
+		}
+	}
 	home := p.homeEngine(r, f, list)
 	decoder, decoderWithPermit := p.bestDecoder(now, r, f, list, relaxed)
 	for _, i := range list {
@@ -213,11 +231,11 @@
 			q.full = p.isFull(r, u)
 		}
 		if held > q.cached && holder != u {
-			if fetched := p.planWithFetch(now, r, u, q, holder, held); fetched.firstToken < q.firstToken {
+			if fetched := p.planWithFetch(now, r, u, q, holder, held); fetched.firstToken+p.fetchCharge(r, fetched) < q.firstToken {
 				q = fetched
 			}
 		}
-		q.score = q.firstToken + p.WorkWeight*r.Work(q.cached)/p.rate(now, u) + p.tieBreak() + p.distanceCharge(r, u)
+		q.score = q.firstToken + p.fetchCharge(r, q) + p.WorkWeight*r.Work(q.cached)/p.rate(now, u) + p.tieBreak() + p.distanceCharge(r, u)
 		if q.decode != u {
 			q.score += p.distanceCharge(r, q.decode)
 		}
@@ -273,6 +291,9 @@
 	if p.DataCentre == "" || u.Spec.DataCentre == p.DataCentre {
 		return 0
 	}
+	if p.spills(r) {
+		return p.spillCharge(r)
+	}
 	return p.DistanceMS / 1000 * float64(r.PromptTokens) / 1000
 }
 
@@ -374,6 +395,9 @@
 // PickDecoder implements policy.DecoderPicker.
 func (p *Measured) PickDecoder(now time.Duration, r *policy.Request, f *policy.Fleet) int {
 	list := f.Candidates(r)
+	if u := p.decoderBeside(now, r, f, list); u != nil {
+		return u.Index
+	}
 	for relaxed := range 2 {
 		if u, _ := p.bestDecoder(now, r, f, list, relaxed == 1); u != nil {
 			return u.Index
