routing: compare a few random engines for each prompt

Cause: 70 VMs compare all engines by reports that are 30 ms old and pick the same one until its load is reported.

Change: spread_choices (0, all engines, by default; edge.Uneven.RandomChoices) compares that many random engines of each role with a free slot, the home engine and the holder of the prefix.

No load is measured yet.

--- a/edge/uneven.go
+++ b/edge/uneven.go
@@ -14,6 +14,8 @@
 	// WeightedDirectory names VMs to clients by what each can carry. All VMs of a deployment need the same setting, since it changes
 	// the unit of the size that members advertise. Small fleets of equal VMs are listed as before.
 	WeightedDirectory bool
+	// RandomChoices is the number of random engines of each role that a VM compares for a prompt, beside those with its prefix; 0: all.
+	RandomChoices int
 	// Spill lets spill.gain decide which requests go to another data centre; see docs/design/leaving-the-data-centre.md.
 	Spill bool
 }
@@ -21,7 +23,7 @@
 // configureRouter applies the switches to the router.
 func (e *Edge) configureRouter(m *routing.Measured) error {
 	m.DataCentre = e.settings.DataCentre
-	m.UseFigures = e.uneven.EngineFigures
+	m.UseFigures, m.SpreadChoices = e.uneven.EngineFigures, e.uneven.RandomChoices
 	if e.uneven.Spill {
 		return e.addSpill(m)
 	}
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -41,6 +41,7 @@
 	TokenBytes    float64 `json:"token_bytes"`      // bytes of KV cache per token
 	UseFigures    bool    `json:"use_figures"`      // the specification's figures, where stated, replace move_bytes_per_s and token_bytes
 	DataCentre    string  `json:"data_centre"`      // of this entry VM; empty: distances are not charged
+	SpreadChoices int     `json:"spread_choices"`   // random engines of each role that are compared, beside home and holder; 0: all
 
 	// Spill decides which requests go to another data centre, in place of DistanceMS; nil: DistanceMS applies.
 	Spill policy.Spill `json:"-"`
@@ -52,6 +53,7 @@
 	typicalRates [2]float64 // smoothed rates of all engines, by rateClass
 	tokenSeconds float64    // time of one output token
 	spill        spillState
+	sample       sampleState
 }
 
 type engineRate struct {
@@ -81,8 +83,8 @@
 
 // Validate implements kernel.Validator.
 func (p *Measured) Validate() error {
-	if p.PrefillRate <= 0 || p.DecodeRate <= 0 || p.MaxBacklogMS <= 0 || p.RiseWeight <= 0 || p.FallWeight <= 0 || p.FullWork <= 0 || p.MoveBytesPerS <= 0 {
-		return errors.New("prefill_rate, decode_rate, max_backlog_ms, rise_weight, fall_weight, full_work and move_bytes_per_s must be positive")
+	if p.PrefillRate <= 0 || p.DecodeRate <= 0 || p.MaxBacklogMS <= 0 || p.SpreadChoices < 0 || p.RiseWeight <= 0 || p.FallWeight <= 0 || p.FullWork <= 0 || p.MoveBytesPerS <= 0 {
+		return errors.New("prefill_rate, decode_rate, max_backlog_ms, rise_weight, fall_weight, full_work and move_bytes_per_s must be positive, spread_choices not negative")
 	}
 	return nil
 }
@@ -213,7 +215,7 @@
 	}
 	home := p.homeEngine(r, f, list)
 	decoder, decoderWithPermit := p.bestDecoder(now, r, f, list, relaxed)
-	for _, i := range list {
+	for _, i := range p.compared(now, f, r, list, holder, home, relaxed) {
 		u := f.Upstreams[i]
 		lacksPermit := u.LacksPermit(r)
 		if !lacksPermit && !u.CanTake(r) || !relaxed && (r.Avoids(i) || f.Health.Excluded(now, i)) {
@@ -369,7 +371,7 @@
 // permit were at hand, or nil.
 func (p *Measured) bestDecoder(now time.Duration, r *policy.Request, f *policy.Fleet, list []int, relaxed bool) (best, withPermit *policy.Upstream) {
 	least, leastWithPermit := math.Inf(1), math.Inf(1)
-	for _, i := range list {
+	for _, i := range p.compared(now, f, r, list, nil, nil, relaxed) {
 		u := f.Upstreams[i]
 		lacksPermit := u.LacksPermit(r)
 		if !lacksPermit && !u.CanTake(r) || u.Role == topo.RolePrefill || !relaxed && (r.Avoids(i) || f.Health.Excluded(now, i)) {
