--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -39,12 +39,21 @@
 	Oversubscribe float64 `json:"oversubscribe"`    // streams per batch slot above which requests wait in the entry VM
 	MoveBytesPerS float64 `json:"move_bytes_per_s"` // bandwidth of an engine's link for KV cache
 	TokenBytes    float64 `json:"token_bytes"`      // bytes of KV cache per token
+	UseFigures    bool    `json:"use_figures"`      // the specification's figures, where stated, replace move_bytes_per_s and token_bytes
 	DataCentre    string  `json:"data_centre"`      // of this entry VM; empty: distances are not charged
+	SpreadChoices int     `json:"spread_choices"`   // random engines of each role that are compared, beside home and holder; 0: all
+
+	// Spill decides which requests go to another data centre, in place of DistanceMS; nil: DistanceMS applies.
+	Spill policy.Spill `json:"-"`
+	// Heard returns the data centres whose entry VMs have been heard from recently, and whether no other VM has; nil: all are.
+	Heard func() (dataCentres map[string]bool, alone bool) `json:"-"`
 
 	state        uint64
 	rates        []engineRate
 	typicalRates [2]float64 // smoothed rates of all engines, by rateClass
 	tokenSeconds float64    // time of one output token
+	spill        spillState
+	sample       sampleState
 }
 
 type engineRate struct {
@@ -74,8 +83,8 @@
 
 // Validate implements kernel.Validator.
 func (p *Measured) Validate() error {
-	if p.PrefillRate <= 0 || p.DecodeRate <= 0 || p.MaxBacklogMS <= 0 || p.RiseWeight <= 0 || p.FallWeight <= 0 || p.FullWork <= 0 || p.MoveBytesPerS <= 0 {
-		return errors.New("prefill_rate, decode_rate, max_backlog_ms, rise_weight, fall_weight, full_work and move_bytes_per_s must be positive")
+	if p.PrefillRate <= 0 || p.DecodeRate <= 0 || p.MaxBacklogMS <= 0 || p.SpreadChoices < 0 || p.RiseWeight <= 0 || p.FallWeight <= 0 || p.FullWork <= 0 || p.MoveBytesPerS <= 0 {
+		return errors.New("prefill_rate, decode_rate, max_backlog_ms, rise_weight, fall_weight, full_work and move_bytes_per_s must be positive, spread_choices not negative")
 	}
 	return nil
 }
@@ -119,6 +128,9 @@
 // were not reported yet make an engine look slow, so a rate rises faster than it falls.
 func (p *Measured) Learn(now time.Duration, r *policy.Request, f *policy.Fleet, took time.Duration, done bool) {
 	u := f.Upstreams[r.Prefill]
+	if done {
+		p.noteSent(r, u)
+	}
 	work := r.Work(r.Cached) + r.Backlog
 	if work < minLearnedTokens {
 		return
@@ -170,7 +182,11 @@
 	var best plan
 	var withPermit *policy.Upstream
 	for relaxed := range 2 {
-		best, withPermit = p.bestPlan(now, r, f, list, relaxed == 1)
+		if p.spills(r) {
+			best, withPermit = p.bestPlanWithSpill(now, r, f, list, relaxed == 1)
+		} else {
+			best, withPermit = p.bestPlan(now, r, f, list, list, relaxed == 1)
+		}
 		if best.prefill != nil {
 			break
 		}
@@ -187,14 +203,19 @@
 }
 
 // bestPlan returns the plan with the least score, without a prefill engine if there is none, and the limited engine of a
-// better plan that lacks only a permit, or nil.
-func (p *Measured) bestPlan(now time.Duration, r *policy.Request, f *policy.Fleet, list []int, relaxed bool) (best plan, withPermit *policy.Upstream) {
+// better plan that lacks only a permit, or nil. Cached pieces may be fetched from all engines in sources, which contains list.
+func (p *Measured) bestPlan(now time.Duration, r *policy.Request, f *policy.Fleet, list, sources []int, relaxed bool) (best plan, withPermit *policy.Upstream) {
 	best = plan{score: math.Inf(1)}
 	leastWithPermit := math.Inf(1)
 	holder, held := p.cacheHolder(r, f, list)
+	if len(sources) > len(list) {
+		if h, n := p.cacheHolder(r, f, sources); n > held {
+			holder, held = h, n
+		}
+	}
 	home := p.homeEngine(r, f, list)
 	decoder, decoderWithPermit := p.bestDecoder(now, r, f, list, relaxed)
-	for _, i := range list {
+	for _, i := range p.compared(now, f, r, list, holder, home, relaxed) {
 		u := f.Upstreams[i]
 		lacksPermit := u.LacksPermit(r)
 		if !lacksPermit && !u.CanTake(r) || !relaxed && (r.Avoids(i) || f.Health.Excluded(now, i)) {
@@ -212,11 +233,11 @@
 			q.full = p.isFull(r, u)
 		}
 		if held > q.cached && holder != u {
-			if fetched := p.planWithFetch(now, r, u, q, holder, held); fetched.firstToken < q.firstToken {
+			if fetched := p.planWithFetch(now, r, u, q, holder, held); fetched.firstToken+p.fetchCharge(r, fetched) < q.firstToken {
 				q = fetched
 			}
 		}
-		q.score = q.firstToken + p.WorkWeight*r.Work(q.cached)/p.rate(now, u) + p.tieBreak() + p.distanceCharge(r, u)
+		q.score = q.firstToken + p.fetchCharge(r, q) + p.WorkWeight*r.Work(q.cached)/p.rate(now, u) + p.tieBreak() + p.distanceCharge(r, u)
 		if q.decode != u {
 			q.score += p.distanceCharge(r, q.decode)
 		}
@@ -272,6 +293,9 @@
 	if p.DataCentre == "" || u.Spec.DataCentre == p.DataCentre {
 		return 0
 	}
+	if p.spills(r) {
+		return p.spillCharge(r)
+	}
 	return p.DistanceMS / 1000 * float64(r.PromptTokens) / 1000
 }
 
@@ -297,15 +321,6 @@
 	return q
 }
 
-// moveSeconds returns the time to move the KV cache of this many tokens between two engines.
-func (p *Measured) moveSeconds(tokens float64, from, to *policy.Upstream) float64 {
-	t := tokens * p.TokenBytes / p.MoveBytesPerS
-	if from.Spec.DataCentre != to.Spec.DataCentre {
-		t *= 2
-	}
-	return t
-}
-
 func (p *Measured) handOverSeconds(r *policy.Request, from, to *policy.Upstream) float64 {
 	return p.HandOverMS/1000 + p.moveSeconds(float64(r.PromptTokens), from, to)
 }
@@ -356,7 +371,7 @@
 // permit were at hand, or nil.
 func (p *Measured) bestDecoder(now time.Duration, r *policy.Request, f *policy.Fleet, list []int, relaxed bool) (best, withPermit *policy.Upstream) {
 	least, leastWithPermit := math.Inf(1), math.Inf(1)
-	for _, i := range list {
+	for _, i := range p.compared(now, f, r, list, nil, nil, relaxed) {
 		u := f.Upstreams[i]
 		lacksPermit := u.LacksPermit(r)
 		if !lacksPermit && !u.CanTake(r) || u.Role == topo.RolePrefill || !relaxed && (r.Avoids(i) || f.Health.Excluded(now, i)) {
@@ -382,6 +397,9 @@
 // PickDecoder implements policy.DecoderPicker.
 func (p *Measured) PickDecoder(now time.Duration, r *policy.Request, f *policy.Fleet) int {
 	list := f.Candidates(r)
+	if u := p.decoderBeside(now, r, f, list); u != nil {
+		return u.Index
+	}
 	for relaxed := range 2 {
 		if u, _ := p.bestDecoder(now, r, f, list, relaxed == 1); u != nil {
 			return u.Index
