scheduler: give a request to another engine if the call for its prompt is overdue

Change: the gateway tells the scheduler that a call for the prompt only is sent. With Options.MoveOverduePrompts, the scheduler preempts the attempt after the greatest of 3 times the expected time, 100 ms and 0.4 of the time to the target (0.1 of the time to the deadline without a target), twice that if the engine has answered other calls meanwhile, and dispatches the request to another engine. One prompt call is charged to the retry budget. Routes that may not be repeated are included. health.reachable leaves the silent engine out, 400 ms at first and up to 6.4 s, lets one request through after each pause, and takes it back at its first answer.

--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -18,6 +18,10 @@
 // queueCapacity bounds the requests queued in one entry VM. Each holds its body, typically 20 KB.
 const queueCapacity = 500
 
+// moveOverduePrompts gives requests to another engine if the call for their prompt stays without an answer. It takes effect only where
+// engines of the platform compute prompts for others.
+const moveOverduePrompts = true
+
 // newScheduler composes the policies for the platform's engines and services.
 func newScheduler(e *Edge) (*scheduler.Scheduler, error) {
 	router, err := kernel.Load[policy.Router]("routing.measured", nil)
@@ -47,7 +51,7 @@
 	window.Members = e.budgetMembers
 	return scheduler.New(scheduler.Options{
 		Router: router, Admitter: admitter, Health: health, Retry: window, QueueCapacity: queueCapacity, NewCache: newPrefixIndex,
-		NoYield: true, NoRescue: true, CachesImports: true,
+		NoYield: true, NoRescue: true, CachesImports: true, MoveOverduePrompts: moveOverduePrompts,
 	}), nil
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -333,8 +333,10 @@
 		s.FetchFrom = p.Source.Address
 	}
 	start := time.Now()
+	p.PromptSent()
 	resp, _, err := x.roundTrip(ctx, &p.Prefill, &s)
 	if err != nil {
+		x.logMovedPrompt(ctx, p, time.Since(start))
 		return "", x.promptFailure(err)
 	}
 	defer resp.Close()
--- a/forward/record.go
+++ b/forward/record.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -14,9 +15,9 @@
 
 // metricSet holds the metrics of a Front.
 type metricSet struct {
-	rejections, failures, leavingAnswers, retryLaterAnswers, limitAnswers, bodyMemory, crashes, outOfOrder *metrics.Counter
-	requests                                                                                               func(class string, code result.Code) *metrics.Counter
-	latency, first                                                                                         func(class string) *metrics.Histogram
+	rejections, failures, leavingAnswers, retryLaterAnswers, limitAnswers, bodyMemory, crashes, outOfOrder, movedPrompts *metrics.Counter
+	requests                                                                                                             func(class string, code result.Code) *metrics.Counter
+	latency, first                                                                                                       func(class string) *metrics.Histogram
 }
 
 // maxClassLabels bounds the classes with a series of their own; a configuration may have hundreds of routes.
@@ -28,6 +29,7 @@
 		failures:          metrics.GetOrCreateCounter("bergamot_forward_failed_sends_total"),
 		crashes:           metrics.GetOrCreateCounter("bergamot_forward_crashed_upstreams_total"),
 		bodyMemory:        metrics.GetOrCreateCounter("bergamot_forward_refused_for_body_memory_total"),
+		movedPrompts:      metrics.GetOrCreateCounter("bergamot_forward_moved_prompts_total"),
 		outOfOrder:        metrics.GetOrCreateCounter("bergamot_forward_answers_out_of_order_total"),
 		leavingAnswers:    metrics.GetOrCreateCounter("bergamot_forward_leaving_answers_total"),
 		retryLaterAnswers: metrics.GetOrCreateCounter("bergamot_forward_quiet_answers_total"),
@@ -57,6 +59,16 @@
 		zap.Duration("waited", time.Since(x.arrival)), zap.Duration("left", time.Until(x.deadline)))
 }
 
+// logMovedPrompt counts and logs a prompt call that the scheduler has abandoned to give the request to another engine.
+func (x *exchange) logMovedPrompt(ctx context.Context, p *gateway.Placement, waited time.Duration) {
+	if !gateway.Preempted(ctx) {
+		return
+	}
+	x.f.metrics.movedPrompts.Inc()
+	x.f.opts.Log.Info("prompt overdue", zap.String("request", x.call.ID), zap.Int("attempt", p.Number), zap.String("upstream", p.Prefill.Name),
+		zap.Duration("expected", p.ExpectedFirst), zap.Duration("waited", waited))
+}
+
 // partIDs returns the identifiers of the prompt's shared parts in hexadecimal, comma-separated.
 func (x *exchange) partIDs() string {
 	var b []byte
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -52,6 +52,9 @@
 // Superseded reports whether the context of an attempt has ended because another attempt of the request was faster.
 func Superseded(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errSuperseded) }
 
+// Preempted reports whether the context of an attempt has ended because the scheduler gives the request to another upstream.
+func Preempted(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errPreempted) }
+
 // startHedge starts a second attempt beside the current one, unless the current one has ended or the quarantine gives no
 // permit. It must not block, since the loop's goroutine calls it.
 func (g *Gateway) startHedge(f *inFlight, act action) {
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -18,6 +18,7 @@
 	evOffer eventKind = iota
 	evFirstToken
 	evProgress
+	evPromptSent   // the call for the prompt only is sent
 	evFinished     // the attempt has ended; the scheduler decides whether to retry
 	evHedgeSettled // the hedge has won (n is 1) or ended without being used
 	evHedgeFailed  // one of two concurrent attempts has failed: the hedge (n is 1) or the first one; the other may continue
@@ -142,6 +143,10 @@
 		}
 	case evProgress:
 		l.sched.Progress(now, &f.req, e.n)
+	case evPromptSent:
+		if f.current == e.attempt {
+			l.sched.PromptSent(now, &f.req)
+		}
 	case evFinished:
 		l.finished(now, e)
 	case evHedgeSettled:
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -42,6 +42,12 @@
 // to the caller.
 func (p *Placement) Win() bool { return p.g.win(p.f, p.act) }
 
+// PromptSent records that Prefill is about to be asked for the prompt only. Until PromptComputed, the scheduler may then cancel this
+// attempt and give the request to another engine, since it has not run.
+func (p *Placement) PromptSent() {
+	p.g.loop.send(event{kind: evPromptSent, request: p.f, attempt: p.act.attempt})
+}
+
 // PromptComputed records that the prompt is computed at Prefill, and sets Decode to the engine that generates. It returns false
 // if no engine accepts the computed prompt or the request has been abandoned.
 func (p *Placement) PromptComputed(ctx context.Context) bool {
--- a/policy/health/reachable.go
+++ b/policy/health/reachable.go
@@ -18,9 +18,12 @@
 	Relative
 	DownMS    int `json:"down_ms"`     // exclusion after the first failed connection
 	DownMaxMS int `json:"down_max_ms"` // longest exclusion after a failed connection
-	StallMS   int `json:"stall_ms"`    // exclusion after a stalled attempt
+	StallMS   int `json:"stall_ms"`    // exclusion after a stalled attempt, and the first one after an abandoned call
+	// SilentMaxMS is the longest exclusion after an abandoned call; the first one doubles with each further call without an answer.
+	SilentMaxMS int `json:"silent_max_ms"`
 
 	outages []outage
+	silent  map[int]silence // upstreams that have not answered an abandoned call
 }
 
 // outage is the state of an upstream that is unreachable or stalled.
@@ -30,11 +33,18 @@
 	stalledUntil     time.Duration
 }
 
+// silence is the state of an upstream that has not answered an abandoned call.
+type silence struct {
+	until  time.Duration // then one request is sent to find out whether it answers
+	pause  time.Duration
+	probed bool // that request has been sent
+}
+
 // ModuleInfo implements kernel.Module.
 func (*Reachable) ModuleInfo() kernel.Info {
 	return kernel.Info{ID: "health.reachable", New: func() kernel.Module {
 		relative := (*Relative)(nil).ModuleInfo().New().(*Relative)
-		return &Reachable{Relative: *relative, DownMS: 200, DownMaxMS: 1600, StallMS: 400}
+		return &Reachable{Relative: *relative, DownMS: 200, DownMaxMS: 1600, StallMS: 400, SilentMaxMS: 6400}
 	}}
 }
 
@@ -71,12 +81,17 @@
 
 // Excluded implements policy.HealthTracker.
 func (h *Reachable) Excluded(now time.Duration, i int) bool {
+	if s, ok := h.silent[i]; ok && now < s.until {
+		return true
+	}
 	return i < len(h.outages) && (now < h.outages[i].unreachableUntil || now < h.outages[i].stalledUntil) || h.Relative.Excluded(now, i)
 }
 
 // Reason implements policy.Reasoner.
 func (h *Reachable) Reason(now time.Duration, i int) string {
-	switch {
+	switch s, ok := h.silent[i]; {
+	case ok && now < s.until:
+		return "silent"
 	case i < len(h.outages) && now < h.outages[i].unreachableUntil:
 		return "no connection"
 	case i < len(h.outages) && now < h.outages[i].stalledUntil:
@@ -105,5 +120,51 @@
 // Reset implements policy.HealthTracker.
 func (h *Reachable) Reset(i int) {
 	*h.outageOf(i) = outage{}
+	delete(h.silent, i)
 	h.Relative.Reset(i)
 }
+
+// Silent implements policy.SilenceTracker. At most MaxShare of the upstreams of a set are left out for this reason: under a peak
+// most of them are late.
+func (h *Reachable) Silent(now time.Duration, i int) {
+	s, ok := h.silent[i]
+	switch {
+	case ok && now < s.until && !s.probed: // of several calls that were sent together, only the first counts
+		return
+	case !ok && !h.mayMarkSilent(i):
+		return
+	case !ok:
+		s.pause = time.Duration(h.StallMS) * time.Millisecond
+	default:
+		s.pause = min(2*s.pause, time.Duration(h.SilentMaxMS)*time.Millisecond)
+	}
+	if h.silent == nil {
+		h.silent = map[int]silence{}
+	}
+	s.until, s.probed = now+s.pause, false
+	h.silent[i] = s
+}
+
+// Sent implements policy.SilenceTracker.
+func (h *Reachable) Sent(now time.Duration, i int) {
+	if s, ok := h.silent[i]; ok && now >= s.until {
+		s.until, s.probed = now+s.pause, true
+		h.silent[i] = s
+	}
+}
+
+// Answered implements policy.SilenceTracker.
+func (h *Reachable) Answered(_ time.Duration, i int) { delete(h.silent, i) }
+
+func (h *Reachable) mayMarkSilent(i int) bool {
+	used, out := 0, 1
+	for j := range h.upstreams {
+		if h.setOf(j) == h.setOf(i) && h.upstreams[j].used {
+			used++
+			if _, ok := h.silent[j]; ok {
+				out++
+			}
+		}
+	}
+	return float64(out) <= max(h.MaxShare*float64(used), 1)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -88,6 +88,8 @@
 	Cached         int           // leading pieces expected to be cached at Prefill, or fetched from another engine
 	Backlog        float64       // prompt tokens that Prefill was expected to compute before this request
 	ComputingAt    *Upstream     // upstream whose Computing counts the request, or nil
+	PromptSentAt   time.Duration // the call for the prompt only was sent to Prefill, which has not run the request; 0: not sent
+	NextMove       time.Duration // the call for the prompt only is not abandoned earlier
 	PromptDone     bool          // Prefill has computed the prompt; the first token may still be missing
 	FairTag        float64       // virtual start time among the classes that wait for limited upstreams, set when it is queued
 	DecodePermit   bool          // a permit for Decode, another upstream than Prefill, is reserved until PromptDone
@@ -378,6 +380,17 @@
 	SetPeerGroup(i int, set string)
 }
 
+// SilenceTracker is a HealthTracker that leaves out upstreams that have not answered an abandoned call until they answer another
+// one.
+type SilenceTracker interface {
+	// Silent records that upstream i has not answered a call that was therefore abandoned.
+	Silent(now time.Duration, i int)
+	// Sent records that a request is sent to upstream i. Of a silent upstream, this is the only one for some time.
+	Sent(now time.Duration, i int)
+	// Answered records that upstream i has answered a call, whatever the answer.
+	Answered(now time.Duration, i int)
+}
+
 // Reasoner is a HealthTracker that returns the reason for an exclusion, in a few words for a log line.
 type Reasoner interface {
 	Reason(now time.Duration, i int) string
--- /dev/null
+++ b/scheduler/overdue_test.go
@@ -0,0 +1,105 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/policy/retry"
+)
+
+// offerOverdue offers a request that may not be repeated and reports its prompt as sent to the engine that it returns.
+func offerOverdue(is *is.I, s *Scheduler, now time.Duration, id uint64) (*policy.Request, int) {
+	r := &policy.Request{
+		ID: id, Model: "m", PromptTokens: 6000, Arrival: now, FirstTokenTarget: now + 600*time.Millisecond, FirstTokenDeadline: now + 4*time.Second,
+		Deadline: now + time.Minute, ResendsLimited: true,
+	}
+	a := s.Offer(now, r)
+	is.Equal(len(a), 1)
+	is.True(a[0].Prefill != a[0].Decode)
+	at := a[0].Prefill
+	s.PromptSent(now, r)
+	return r, at
+}
+
+// moveTime ticks until r is moved, and returns the time, or 0 if that does not happen before the end.
+func moveTime(s *Scheduler, r *policy.Request, from, end time.Duration) time.Duration {
+	at := r.Prefill
+	for now := from; now < end; now += 20 * time.Millisecond {
+		if a := s.Tick(now); r.Prefill != at && len(a) == 2 && a[0].Kind == Preempt && a[1].Kind == Dispatch {
+			return now
+		}
+	}
+	return 0
+}
+
+// Guards against a request that waits at a silent prefill engine until its caller leaves, against one that is moved while its answer may
+// just be late, and against load that stays counted at the engine it has left.
+func TestAnOverduePromptIsMoved(t *testing.T) {
+	is := is.New(t)
+	s := newSplitScheduler(t)
+	s.opts.MoveOverduePrompts = true
+	s = New(s.opts)
+	s.SetUpstreams(splitFleet(""))
+	r, silent := offerOverdue(is, s, time.Second, 1)
+	expected := r.ExpectedFirst
+	moved := moveTime(s, r, time.Second, 10*time.Second) - time.Second
+	is.True(moved >= overduePromptFactor*expected && moved >= 240*time.Millisecond) // 0.4 of the target's time
+	is.True(moved <= max(overduePromptFactor*expected, 300*time.Millisecond)+20*time.Millisecond)
+	is.Equal(s.Fleet().Upstreams[silent].OwnRunning, 0)
+	is.Equal(r.PossibleRuns, 0)
+	now := time.Second + moved
+	s.PromptSent(now, r)
+	decode, _ := s.PromptComputed(now, r)
+	is.True(decode != policy.None)
+	s.FirstToken(now, r)
+	s.Finished(now, r, policy.Completed)
+	for _, u := range s.Fleet().Upstreams {
+		is.Equal(u.OwnRunning, 0)
+	}
+	for id := uint64(2); id < 10; id++ { // the silent engine gets no new work
+		q, at := offerOverdue(is, s, now, id)
+		is.True(at != silent)
+		s.Finished(now, q, policy.Cancelled)
+	}
+	later := now + 2*time.Second // one request finds out whether it answers, although the other engine is busy
+	probes := 0
+	var probe *policy.Request
+	for id := uint64(10); id < 30; id++ {
+		q := &policy.Request{ID: id, Model: "m", PromptTokens: 6000, Arrival: later, Deadline: time.Hour, ResendsLimited: true}
+		if s.Offer(later, q); q.Prefill == silent {
+			probes++
+			probe = q
+		}
+	}
+	is.Equal(probes, 1)
+	s.PromptComputed(later, probe)
+	is.True(!s.opts.Health.Excluded(later, silent))
+}
+
+// Guards against moves that a deployment has not asked for, of requests that may have run, whose prompt has just been computed, or
+// beyond the retry budget.
+func TestWhatIsNotMoved(t *testing.T) {
+	for name, prepare := range map[string]func(s *Scheduler, r *policy.Request){
+		"off":               func(s *Scheduler, _ *policy.Request) { s.opts.MoveOverduePrompts = false },
+		"prompt not sent":   func(_ *Scheduler, r *policy.Request) { r.PromptSentAt = 0 }, // the send may be another one
+		"prompt computed":   func(s *Scheduler, r *policy.Request) { s.PromptComputed(1, r) },
+		"output has begun":  func(s *Scheduler, r *policy.Request) { s.FirstToken(1, r) },
+		"no budget":         func(s *Scheduler, _ *policy.Request) { s.opts.Retry.(*retry.Window).Slack = 0 },
+		"too many attempts": func(_ *Scheduler, r *policy.Request) { r.Attempts = retry.MaxSentAttempts },
+		"suspect":           func(_ *Scheduler, r *policy.Request) { r.Crashes = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSplitScheduler(t)
+			s.opts.MoveOverduePrompts = true
+			s = New(s.opts)
+			s.SetUpstreams(splitFleet(""))
+			r, _ := offerOverdue(is, s, 0, 1)
+			prepare(s, r)
+			is.Equal(moveTime(s, r, 0, 3900*time.Millisecond), time.Duration(0))
+		})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -30,6 +30,8 @@
 	NoRescue bool // do not move streams away from slow upstreams
 	// CachesImports is set if engines cache the KV pieces that they import like those that they compute.
 	CachesImports bool
+	// MoveOverduePrompts gives a request to another engine if the call for its prompt has no answer for long; see overdue.go.
+	MoveOverduePrompts bool
 }
 
 // Scheduler is the state machine of one entry VM.
@@ -52,6 +54,9 @@
 	quietUpstreams []*policy.Upstream     // quiet, or back with an allowance that still limits them
 	capacityLost   bool                   // an upstream stopped accepting work or lowered its limit after the last refuseHopeless
 	limits         map[uint64]*limitState // by the hash of the upstream's name
+	silence        policy.SilenceTracker  // nil: overdue prompts are not moved, or Health does not track silence
+	answeredAt     []time.Duration        // by upstream index: last answer to this entry VM; only if overdue prompts are moved
+	moveSearches   int                    // by the current tick
 	nextReview     time.Duration          // of the requests that wait for limited upstreams
 }
 
@@ -69,6 +74,9 @@
 		limits:       map[uint64]*limitState{},
 	}
 	s.fleet.Health = o.Health
+	if o.MoveOverduePrompts {
+		s.silence, _ = o.Health.(policy.SilenceTracker)
+	}
 	return s
 }
 
@@ -154,6 +162,7 @@
 }
 
 func (s *Scheduler) dispatch(now time.Duration, r *policy.Request, c policy.Choice, delay time.Duration) {
+	s.recordDispatch(now, &c)
 	r.Prefill, r.Decode = c.Prefill, c.Decode
 	r.Cached, r.Backlog, r.PromptDone = s.cachedPieces(r, c.Prefill), c.Backlog, false
 	if c.Source != nil {
@@ -162,7 +171,7 @@
 	r.Dispatched = now + delay
 	r.ExpectedFirst, r.ExpectedFinish = c.FirstToken, c.Finish
 	r.NominalFirst = time.Duration(float64(c.FirstToken) / max(s.opts.Health.Factor(c.Prefill), 1))
-	r.FirstAt, r.OverdueCount, r.Resumed = 0, 0, r.Generated
+	r.FirstAt, r.OverdueCount, r.Resumed, r.PromptSentAt = 0, 0, r.Generated, 0
 	r.Attempts++
 	r.Split = c.Decode != c.Prefill
 	s.addInFlight(r)
@@ -203,6 +212,7 @@
 	}
 	s.HedgeSettled(now, r, false)
 	s.promptDone(now, r)
+	s.answered(now, r.Decode)
 	r.FirstAt = max(now, 1) // 0 means no token yet
 	r.Version = s.fleet.Upstreams[r.Decode].Spec.Version
 	if s.opts.CachesImports && r.Decode != r.Prefill {
@@ -255,6 +265,7 @@
 	if r.PromptDone {
 		return
 	}
+	s.answered(now, r.Prefill)
 	s.measureFirst(now, r)
 	s.learnPromptTime(now, r, true)
 	s.removePrefillLoad(r, currentAttempt(r))
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -18,6 +18,7 @@
 // checkInFlight checks the requests in flight. Of those without a first token, it ends the ones past their deadline,
 // reports late ones to the health tracker and may hedge them. It measures streams that have stalled.
 func (s *Scheduler) checkInFlight(now time.Duration) {
+	s.moveSearches = 0
 	for i := 0; i < len(s.running); i++ {
 		r := s.running[i]
 		if r.FirstAt != 0 {
@@ -33,6 +34,10 @@
 			continue
 		}
 		s.observeOverdue(now, r)
+		if s.moveOverduePrompt(now, r) {
+			i-- // r has moved to the last slot, and the request from there to this one
+			continue
+		}
 		s.tryHedge(now, r)
 	}
 }
