admission.objective: in time before late, fair shares of accounts

Cause: at a peak, admission.patience dispatches by priority and arrival, so that capacity goes to requests that have missed their targets, and one account's burst delays all others.

An admitter may now be a policy.OrderChanger: the scheduler's queue, still the only one, ranks its requests again when a standing or a counter has changed, and asks whether a request should wait in the entry VM although its engine could queue it.

Did not help and is not included: refusing at once what would be late by its turn, by the recent rate of late departures.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -42,32 +42,35 @@
 	Settings *platform.Settings
 	Metrics  string // address of the metrics listener; empty: none
 	Log      *zap.Logger
+	// ObjectiveAdmission chooses admission.objective in place of admission.patience.
+	ObjectiveAdmission bool
 }
 
 // Edge is the process of one entry VM.
 type Edge struct {
-	settings          *platform.Settings
-	log               *zap.Logger
-	boot              uint64
-	objects           *platform.Objects
-	catalog           *catalog.Catalog
-	list              *membership.Service
-	peers             *peer.Client
-	loads             *loads.Exchange
-	permits           *permits.Exchange
-	pool              *conns.Pool
-	gateway           *gateway.Gateway
-	front             *forward.Front
-	crashes           *quarantine.Ledger
-	crashesLoaded     <-chan struct{} // closed when crashes has what is stored
-	startedAt         time.Time
-	versions          *versions.Keeper
-	servers           []*server
-	group             run.Group
-	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
-	leaving           atomic.Bool
-	stop              chan time.Time // gets the earliest time at which the stop may have been asked for
-	stopOnce          sync.Once
+	settings           *platform.Settings
+	log                *zap.Logger
+	boot               uint64
+	objects            *platform.Objects
+	catalog            *catalog.Catalog
+	list               *membership.Service
+	peers              *peer.Client
+	loads              *loads.Exchange
+	permits            *permits.Exchange
+	pool               *conns.Pool
+	gateway            *gateway.Gateway
+	front              *forward.Front
+	crashes            *quarantine.Ledger
+	crashesLoaded      <-chan struct{} // closed when crashes has what is stored
+	startedAt          time.Time
+	versions           *versions.Keeper
+	servers            []*server
+	group              run.Group
+	objectiveAdmission bool
+	upstreamAddresses  map[string]string // address by upstream name; used by followUpstreams only
+	leaving            atomic.Bool
+	stop               chan time.Time // gets the earliest time at which the stop may have been asked for
+	stopOnce           sync.Once
 }
 
 // New builds an entry VM and opens its listeners.
@@ -75,7 +78,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}}
+	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}, objectiveAdmission: o.ObjectiveAdmission}
 	limitRuntime(o.Settings.ResourceLimits)
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
 	e.pool = conns.New(conns.Options{})
--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -22,6 +22,14 @@
 // engines of the platform compute prompts for others.
 const moveOverduePrompts = true
 
+// admitterID returns the admitter of a deployment.
+func admitterID(objective bool) string {
+	if objective {
+		return "admission.objective"
+	}
+	return "admission.patience"
+}
+
 // newScheduler composes the policies for the platform's engines and services.
 func newScheduler(e *Edge) (*scheduler.Scheduler, error) {
 	router, err := kernel.Load[policy.Router]("routing.measured", nil)
@@ -31,7 +39,7 @@
 	if m, ok := router.(*routing.Measured); ok {
 		m.DataCentre = e.settings.DataCentre
 	}
-	admitter, err := kernel.Load[policy.Admitter]("admission.patience", nil)
+	admitter, err := kernel.Load[policy.Admitter](admitterID(e.objectiveAdmission), nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -111,6 +111,12 @@
 	Tag    float64 // the caller's virtual time at the request's arrival
 	Bucket int64   // Tag in units of the admitter's quantum
 
+	// Set by an admitter that is an OrderChanger.
+	LateAt  time.Duration // time from which the request can't meet its target any more; 0: never
+	Late    bool          // as of the last Rank
+	Share   float64       // what the caller had used as of the last Rank
+	Charged float64       // charged to the caller so far
+
 	// Start of the scheduler's current measurement of the decode speed.
 	MeasuredAt     time.Duration
 	MeasuredTokens int
@@ -338,6 +344,19 @@
 	Done(now time.Duration, r *Request, tokens float64)
 }
 
+// OrderChanger is an Admitter whose order of queued requests changes while they wait. Less reads only what Rank has set, so that a
+// heap stays in order between two calls of Rank.
+type OrderChanger interface {
+	// Dispatched records that r, which was admitted, has been sent to an upstream.
+	Dispatched(now time.Duration, r *Request)
+	// Rank sets the fields of r that Less compares, as of now, and returns when they change by the passing of time alone.
+	Rank(now time.Duration, r *Request) (until time.Duration)
+	// Hold reports whether r should stay in the queue although c.Prefill could take it, beside Choice.Defer.
+	Hold(r *Request, c Choice) bool
+	// Changes counts the other changes that affect the order of queued requests.
+	Changes() uint64
+}
+
 // Observation is one measurement of an upstream.
 type Observation struct {
 	Upstream int
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -190,3 +190,18 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (s *Scheduler) cachedPieces(r *policy.Request, i int) int {
+	if u := s.fleet.Upstreams[i]; u.Cache != nil {
+		return u.Cache.Match(r.Prefix)
+	}
+	return 0
+}
+
+// insertPrefix records the pieces that upstream i is about to compute in its prefix index, before its cache events
+// arrive.
+func (s *Scheduler) insertPrefix(now time.Duration, r *policy.Request, i int) {
+	if u := s.fleet.Upstreams[i]; u.Cache != nil && len(r.Prefix) > 0 {
+		u.Cache.Insert(now, r.PiecesAfterPrompt())
+	}
+}
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -99,7 +99,7 @@
 	avoid, avoidDecode := r.Avoid, r.AvoidDecode
 	r.Avoid, r.AvoidDecode = silent, policy.None
 	c := s.opts.Router.Route(now, r, &s.fleet)
-	if c.Prefill == policy.None || c.Prefill == silent || shouldWait(r, c) || now+c.FirstToken >= r.GiveUpAt() || !s.allowPromptCall(now, r) {
+	if c.Prefill == policy.None || c.Prefill == silent || s.shouldWait(r, c) || now+c.FirstToken >= r.GiveUpAt() || !s.allowPromptCall(now, r) {
 		r.Avoid, r.AvoidDecode = avoid, avoidDecode
 		return false
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -20,7 +20,10 @@
 	lastDeparture     time.Duration
 	departureInterval time.Duration
 	fair              fairOrder
-	overloadedUntil   time.Duration // the limits of the upstreams count as overloaded until then
+	ranker            policy.OrderChanger // nil: the order does not change
+	rankedUntil       time.Duration       // the ranks of the items change then
+	rankedChanges     uint64              // ranker.Changes at the last rerank
+	overloadedUntil   time.Duration       // the limits of the upstreams count as overloaded until then
 }
 
 func (q *queue) Len() int           { return len(q.items) }
@@ -52,11 +55,35 @@
 func (q *queue) push(now time.Duration, r *policy.Request) {
 	if len(q.items) == 0 {
 		q.lastDeparture = now // idle time does not count as an interval between departures
+		q.rankedUntil = math.MaxInt64
+		if q.ranker != nil {
+			q.rankedChanges = q.ranker.Changes()
+		}
 	}
+	q.rank(now, r)
 	heap.Push(q, r)
 	q.count[priorityLevel(r)]++
 }
 
+// rank sets the rank of r, which is not queued.
+func (q *queue) rank(now time.Duration, r *policy.Request) {
+	if q.ranker != nil {
+		q.rankedUntil = min(q.rankedUntil, q.ranker.Rank(now, r))
+	}
+}
+
+// rerank restores the order after the ranks of the items have changed. It does nothing in between, so that a call is cheap.
+func (q *queue) rerank(now time.Duration) {
+	if q.ranker == nil || len(q.items) == 0 || now < q.rankedUntil && q.ranker.Changes() == q.rankedChanges {
+		return
+	}
+	q.rankedUntil, q.rankedChanges = math.MaxInt64, q.ranker.Changes()
+	for _, r := range q.items {
+		q.rank(now, r)
+	}
+	heap.Init(q)
+}
+
 func (q *queue) pop() *policy.Request {
 	r := heap.Pop(q).(*policy.Request)
 	q.count[priorityLevel(r)]--
@@ -118,7 +145,7 @@
 	}
 	q, ok := s.queues[key]
 	if !ok {
-		q = &queue{key: key, less: s.less}
+		q = &queue{key: key, less: s.less, ranker: s.ranker, rankedUntil: math.MaxInt64}
 		s.queues[key] = q
 		at, _ := slices.BinarySearchFunc(s.sortedQueues, key, func(q *queue, k string) int { return strings.Compare(q.key, k) })
 		s.sortedQueues = slices.Insert(s.sortedQueues, at, q)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,6 +55,7 @@
 	capacityLost   bool                   // an upstream stopped accepting work or lowered its limit after the last refuseHopeless
 	limits         map[uint64]*limitState // by the hash of the upstream's name
 	silence        policy.SilenceTracker  // nil: overdue prompts are not moved, or Health does not track silence
+	ranker         policy.OrderChanger    // the admitter, if it is one; otherwise nil
 	answeredAt     []time.Duration        // by upstream index: last answer to this entry VM; only if overdue prompts are moved
 	moveSearches   int                    // by the current tick
 	nextReview     time.Duration          // of the requests that wait for limited upstreams
@@ -74,6 +75,7 @@
 		limits:       map[uint64]*limitState{},
 	}
 	s.fleet.Health = o.Health
+	s.ranker, _ = o.Admitter.(policy.OrderChanger)
 	if o.MoveOverduePrompts {
 		s.silence, _ = o.Health.(policy.SilenceTracker)
 	}
@@ -110,6 +112,7 @@
 		return
 	}
 	q := s.queueFor(r)
+	q.rerank(now)
 	if now < r.HoldUntil {
 		q.push(now, r)
 		s.queued++
@@ -123,7 +126,8 @@
 		s.refuseQueued(now, q, r, v, view)
 		return
 	}
-	if choice.Prefill != policy.None && !shouldWait(r, choice) && !q.hasRequestBefore(r) {
+	q.rank(now, r)
+	if choice.Prefill != policy.None && !s.shouldWait(r, choice) && !q.hasRequestBefore(r) {
 		s.dispatch(now, r, choice, delay)
 		return
 	}
@@ -137,15 +141,15 @@
 		s.updateOrder(q)
 	}
 	s.queued++
-	if choice.Prefill != policy.None && !shouldWait(r, choice) {
+	if choice.Prefill != policy.None && !s.shouldWait(r, choice) {
 		s.drainQueue(now, q)
 	}
 }
 
 // shouldWait reports whether r stays in the queue although an upstream could take it. A request whose answer has begun
 // does not wait for the load to fall, unless it was preempted in favour of other requests.
-func shouldWait(r *policy.Request, c policy.Choice) bool {
-	return c.Defer && (r.Generated == 0 || r.Yielded)
+func (s *Scheduler) shouldWait(r *policy.Request, c policy.Choice) bool {
+	return c.Defer && (r.Generated == 0 || r.Yielded) || s.ranker != nil && !r.Suspect && s.ranker.Hold(r, c)
 }
 
 // admit asks the admitter for a verdict. It always admits requests whose answer has begun, since a refusal would cut
@@ -174,6 +178,9 @@
 	r.FirstAt, r.OverdueCount, r.Resumed, r.PromptSentAt = 0, 0, r.Generated, 0
 	r.Attempts++
 	r.Split = c.Decode != c.Prefill
+	if s.ranker != nil {
+		s.ranker.Dispatched(now, r)
+	}
 	s.addInFlight(r)
 	s.usePermits(now, r, currentAttempt(r))
 	s.addLoad(r, currentAttempt(r))
@@ -182,21 +189,6 @@
 	s.probe(now, r)
 }
 
-func (s *Scheduler) cachedPieces(r *policy.Request, i int) int {
-	if u := s.fleet.Upstreams[i]; u.Cache != nil {
-		return u.Cache.Match(r.Prefix)
-	}
-	return 0
-}
-
-// insertPrefix records the pieces that upstream i is about to compute in its prefix index, before its cache events
-// arrive.
-func (s *Scheduler) insertPrefix(now time.Duration, r *policy.Request, i int) {
-	if u := s.fleet.Upstreams[i]; u.Cache != nil && len(r.Prefix) > 0 {
-		u.Cache.Insert(now, r.PiecesAfterPrompt())
-	}
-}
-
 func (s *Scheduler) refuse(now time.Duration, r *policy.Request, code result.Code, after time.Duration) {
 	ran := s.mayHaveRun[r.ID]
 	delete(s.mayHaveRun, r.ID)
@@ -439,6 +431,7 @@
 	kept := s.requeue[:0]
 	suspectsWait := false
 	for tries := 0; tries < maxFailedRoutes && q.Len() > 0; {
+		q.rerank(now)
 		r := q.pop()
 		if r.Suspect && suspectsWait {
 			kept = append(kept, r) // no upstream is free for a suspect; skip it without counting a try
@@ -484,7 +477,7 @@
 		s.refuseQueued(now, q, r, v, view)
 		return true
 	}
-	if c.Prefill == policy.None || shouldWait(r, c) {
+	if c.Prefill == policy.None || s.shouldWait(r, c) {
 		return false
 	}
 	s.queued--
