routing.measured: count KV cache when an engine is full (off by default)

Cause: an engine counted as full by its slots only. 64 slots, but KV cache for 26 prompts of 17,000 tokens: sends beyond them are rejected.

Change: the scheduler keeps Upstream.OwnHeld, the KV cache that the own requests need. With count_memory, measured adds the same mean for each request of other entry VMs, and lets a request wait if there is no room. Package edge has a constant for it, off: whether engines hold shared parts once for all running requests has not been measured.

--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -22,6 +22,10 @@
 // engines of the platform compute prompts for others.
 const moveOverduePrompts = true
 
+// countMemory makes an engine count as full also when its KV cache is. Off until a measurement shows whether engines hold the shared parts
+// of the prompts that run there only once; if so, it would leave slots unused.
+const countMemory = false
+
 // admitterID returns the admitter of a deployment.
 func admitterID(objective bool) string {
 	if objective {
@@ -37,7 +41,7 @@
 		return nil, trace.Wrap(err)
 	}
 	if m, ok := router.(*routing.Measured); ok {
-		m.DataCentre = e.settings.DataCentre
+		m.DataCentre, m.CountMemory = e.settings.DataCentre, countMemory
 	}
 	admitter, err := kernel.Load[policy.Admitter](admitterID(e.objectiveAdmission), nil)
 	if err != nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -236,6 +236,7 @@
 	OwnPrefill   float64 // dispatched prompt tokens that are not computed yet, without those expected to be cached
 	OwnPrefillBy [Priorities]float64
 	OwnRemaining float64 // expected output tokens that are not generated yet
+	OwnHeld      float64 // tokens of KV cache that the own requests need at the end of their output
 	OwnSuspects  int     // suspects, see Request.Suspect
 
 	// Load by all entry VMs, as last reported.
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -39,11 +39,13 @@
 	Oversubscribe float64 `json:"oversubscribe"`    // streams per batch slot above which requests wait in the entry VM
 	MoveBytesPerS float64 `json:"move_bytes_per_s"` // bandwidth of an engine's link for KV cache
 	TokenBytes    float64 `json:"token_bytes"`      // bytes of KV cache per token
+	CountMemory   bool    `json:"count_memory"`     // an engine is also full if its KV cache has no room for the request beside those that run
 	DataCentre    string  `json:"data_centre"`      // of this entry VM; empty: distances are not charged
 
 	state        uint64
 	rates        []engineRate
 	typicalRates [2]float64 // smoothed rates of all engines, by rateClass
+	meanHeld     float64    // smoothed tokens of KV cache that a request needs
 	tokenSeconds float64    // time of one output token
 }
 
@@ -167,6 +169,9 @@
 	if r.Service != "" {
 		return p.routeService(now, r, f, list)
 	}
+	if r.Attempts == 0 {
+		p.learnHeld(r)
+	}
 	var best plan
 	var withPermit *policy.Upstream
 	for relaxed := range 2 {
@@ -403,9 +408,25 @@
 	if r.Priority > 0 {
 		limit *= lowPrioritySlotShare
 	}
+	if p.CountMemory && u.Spec.KVPieces > 0 {
+		need := float64(r.PromptTokens) + r.ExpectedOutput
+		if u.OwnHeld+float64(u.OtherRunning())*p.meanHeld+need > float64(u.Spec.KVPieces*policy.PieceTokens) {
+			return true
+		}
+	}
 	return float64(u.OwnRunning+u.OtherRunning()) >= limit
 }
 
+// learnHeld updates the mean need of a request for KV cache, which is assumed for the requests of other entry VMs.
+func (p *Measured) learnHeld(r *policy.Request) {
+	const smoothing = 0.02
+	need := float64(r.PromptTokens) + r.ExpectedOutput
+	if p.meanHeld == 0 {
+		p.meanHeld = need
+	}
+	p.meanHeld += smoothing * (need - p.meanHeld)
+}
+
 // routeService routes a call of a plain service to the server with the least load relative to its speed.
 func (p *Measured) routeService(now time.Duration, r *policy.Request, f *policy.Fleet, list []int) policy.Choice {
 	best, withPermit := (*policy.Upstream)(nil), (*policy.Upstream)(nil)
--- a/scheduler/handover_test.go
+++ b/scheduler/handover_test.go
@@ -66,6 +66,8 @@
 	decode, _ := s.PromptComputed(time.Second, r)
 	is.True(decode != policy.None && decode != a.Decode)
 	is.True(s.Fleet().Upstreams[decode].Accepting)
+	is.Equal(s.Fleet().Upstreams[decode].OwnHeld, held(r))
+	is.Equal(s.Fleet().Upstreams[a.Decode].OwnHeld, 0.0)
 	s.FirstToken(2*time.Second, r)
 	s.Finished(3*time.Second, r, policy.Completed)
 	for _, u := range s.Fleet().Upstreams { // the load has moved with the request
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -246,9 +246,11 @@
 	old, next := s.fleet.Upstreams[r.Decode], s.fleet.Upstreams[decode]
 	changeRunning(old, r, -1)
 	old.OwnRemaining = max(old.OwnRemaining-remaining(r), 0)
+	old.OwnHeld = max(old.OwnHeld-held(r), 0)
 	clearRoundingErrors(old)
 	changeRunning(next, r, 1)
 	next.OwnRemaining += remaining(r)
+	next.OwnHeld += held(r)
 	r.Decode = decode
 	return decode
 }
