--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -93,7 +93,8 @@
 	}
 	s.moveSearches++
 	r.NextMove = now + moveInterval
-	if s.silence != nil && s.answeredAtOf(silent) < r.PromptSentAt {
+	busy := s.answeredAtOf(silent) >= r.PromptSentAt
+	if s.silence != nil && !busy {
 		s.silence.Silent(now, silent)
 	}
 	avoid, avoidDecode := r.Avoid, r.AvoidDecode
@@ -103,7 +104,9 @@
 		r.Avoid, r.AvoidDecode = avoid, avoidDecode
 		return false
 	}
-	s.learnPromptTime(now, r, false)
+	if busy { // a silent engine has no speed, and would lower the one that is assumed of the others
+		s.learnPromptTime(now, r, false)
+	}
 	s.releaseDecodePermit(now, r)
 	s.removeLoad(r, currentAttempt(r))
 	s.removeInFlight(r)
