--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -6,8 +6,10 @@
 	"github.com/matryer/is"
 
 	"bergamotcroft.example/bergamot/catalog"
+	"bergamotcroft.example/bergamot/kernel"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/routes"
 	"bergamotcroft.example/bergamot/topo"
 )
@@ -61,3 +63,12 @@
 	_, err := platform.ParseSettings([]byte(`{"node":"a"}`))
 	is.True(err != nil)
 }
+
+// Guards against a switch that names an admitter that is not registered: the process would not start.
+func TestAdmittersAreRegistered(t *testing.T) {
+	for _, objective := range []bool{false, true} {
+		if _, err := kernel.Load[policy.Admitter](admitterID(objective), nil); err != nil {
+			t.Error(err)
+		}
+	}
+}
