--- a/edge/edge.go
+++ b/edge/edge.go
@@ -48,29 +48,29 @@
 
 // Edge is the process of one entry VM.
 type Edge struct {
-	settings           *platform.Settings
-	log                *zap.Logger
-	boot               uint64
-	objects            *platform.Objects
-	catalog            *catalog.Catalog
-	list               *membership.Service
-	peers              *peer.Client
-	loads              *loads.Exchange
-	permits            *permits.Exchange
-	pool               *conns.Pool
-	gateway            *gateway.Gateway
-	front              *forward.Front
-	crashes            *quarantine.Ledger
-	crashesLoaded      <-chan struct{} // closed when crashes has what is stored
-	startedAt          time.Time
-	versions           *versions.Keeper
-	servers            []*server
-	group              run.Group
-	objectiveAdmission bool
-	upstreamAddresses  map[string]string // address by upstream name; used by followUpstreams only
-	leaving            atomic.Bool
-	stop               chan time.Time // gets the earliest time at which the stop may have been asked for
-	stopOnce           sync.Once
+	settings          *platform.Settings
+	log               *zap.Logger
+	boot              uint64
+	objects           *platform.Objects
+	catalog           *catalog.Catalog
+	list              *membership.Service
+	peers             *peer.Client
+	loads             *loads.Exchange
+	permits           *permits.Exchange
+	pool              *conns.Pool
+	gateway           *gateway.Gateway
+	front             *forward.Front
+	crashes           *quarantine.Ledger
+	crashesLoaded     <-chan struct{} // closed when crashes has what is stored
+	startedAt         time.Time
+	versions          *versions.Keeper
+	servers           []*server
+	group             run.Group
+	objective         bool
+	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
+	leaving           atomic.Bool
+	stop              chan time.Time // gets the earliest time at which the stop may have been asked for
+	stopOnce          sync.Once
 }
 
 // New builds an entry VM and opens its listeners.
@@ -78,7 +78,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}, objectiveAdmission: o.ObjectiveAdmission}
+	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}, objective: o.ObjectiveAdmission}
 	limitRuntime(o.Settings.ResourceLimits)
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
 	e.pool = conns.New(conns.Options{})
--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -43,7 +43,7 @@
 	if m, ok := router.(*routing.Measured); ok {
 		m.DataCentre, m.CountMemory = e.settings.DataCentre, countMemory
 	}
-	admitter, err := kernel.Load[policy.Admitter](admitterID(e.objectiveAdmission), nil)
+	admitter, err := kernel.Load[policy.Admitter](admitterID(e.objective), nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
