--- a/edge/edge.go
+++ b/edge/edge.go
@@ -43,6 +43,8 @@
 	Metrics  string // address of the metrics listener; empty: none
 	Log      *zap.Logger
 	Uneven   Uneven
+	// ObjectiveAdmission chooses admission.objective in place of admission.patience.
+	ObjectiveAdmission bool
 }
 
 // Edge is the process of one entry VM.
@@ -66,6 +68,7 @@
 	versions          *versions.Keeper
 	servers           []*server
 	group             run.Group
+	objective         bool
 	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
 	leaving           atomic.Bool
 	stop              chan time.Time // gets the earliest time at which the stop may have been asked for
@@ -77,7 +80,10 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	e := &Edge{settings: o.Settings, uneven: o.Uneven, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}}
+	e := &Edge{
+		settings: o.Settings, uneven: o.Uneven, objective: o.ObjectiveAdmission, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(),
+		stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{},
+	}
 	limitRuntime(o.Settings.ResourceLimits)
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
 	e.pool = conns.New(conns.Options{})
--- a/edge/scheduler.go
+++ b/edge/scheduler.go
@@ -18,6 +18,22 @@
 // queueCapacity bounds the requests queued in one entry VM. Each holds its body, typically 20 KB.
 const queueCapacity = 500
 
+// moveOverduePrompts gives requests to another engine if the call for their prompt stays without an answer. It takes effect only where
+// engines of the platform compute prompts for others.
+const moveOverduePrompts = true
+
+// countMemory makes an engine count as full also when its KV cache is. Off until a measurement shows whether engines hold the shared parts
+// of the prompts that run there only once; if so, it would leave slots unused.
+const countMemory = false
+
+// admitterID returns the admitter of a deployment.
+func admitterID(objective bool) string {
+	if objective {
+		return "admission.objective"
+	}
+	return "admission.patience"
+}
+
 // newScheduler composes the policies for the platform's engines and services.
 func newScheduler(e *Edge) (*scheduler.Scheduler, error) {
 	router, err := kernel.Load[policy.Router]("routing.measured", nil)
@@ -28,8 +44,9 @@
 		if err := e.configureRouter(m); err != nil {
 			return nil, err
 		}
+		m.CountMemory = countMemory
 	}
-	admitter, err := kernel.Load[policy.Admitter]("admission.patience", nil)
+	admitter, err := kernel.Load[policy.Admitter](admitterID(e.objective), nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -49,7 +66,7 @@
 	window.Members = e.budgetMembers
 	return scheduler.New(scheduler.Options{
 		Router: router, Admitter: admitter, Health: health, Retry: window, QueueCapacity: queueCapacity, NewCache: newPrefixIndex,
-		NoYield: true, NoRescue: true, CachesImports: true,
+		NoYield: true, NoRescue: true, CachesImports: true, MoveOverduePrompts: moveOverduePrompts,
 	}), nil
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -88,6 +88,8 @@
 	Cached         int           // leading pieces expected to be cached at Prefill, or fetched from another engine
 	Backlog        float64       // prompt tokens that Prefill was expected to compute before this request
 	ComputingAt    *Upstream     // upstream whose Computing counts the request, or nil
+	PromptSentAt   time.Duration // the call for the prompt only was sent to Prefill, which has not run the request; 0: not sent
+	NextMove       time.Duration // the call for the prompt only is not abandoned earlier
 	PromptDone     bool          // Prefill has computed the prompt; the first token may still be missing
 	FairTag        float64       // virtual start time among the classes that wait for limited upstreams, set when it is queued
 	DecodePermit   bool          // a permit for Decode, another upstream than Prefill, is reserved until PromptDone
@@ -110,6 +112,12 @@
 	Tag    float64 // the caller's virtual time at the request's arrival
 	Bucket int64   // Tag in units of the admitter's quantum
 
+	// Set by an admitter that is an OrderChanger.
+	LateAt  time.Duration // time from which the request can't meet its target any more; 0: never
+	Late    bool          // as of the last Rank
+	Share   float64       // what the caller had used as of the last Rank
+	Charged float64       // charged to the caller so far
+
 	// Start of the scheduler's current measurement of the decode speed.
 	MeasuredAt     time.Duration
 	MeasuredTokens int
@@ -229,6 +237,7 @@
 	OwnPrefill   float64 // dispatched prompt tokens that are not computed yet, without those expected to be cached
 	OwnPrefillBy [Priorities]float64
 	OwnRemaining float64 // expected output tokens that are not generated yet
+	OwnHeld      float64 // tokens of KV cache that the own requests need at the end of their output
 	OwnSuspects  int     // suspects, see Request.Suspect
 
 	// Load by all entry VMs, as last reported.
@@ -337,6 +346,19 @@
 	Done(now time.Duration, r *Request, tokens float64)
 }
 
+// OrderChanger is an Admitter whose order of queued requests changes while they wait. Less reads only what Rank has set, so that a
+// heap stays in order between two calls of Rank.
+type OrderChanger interface {
+	// Dispatched records that r, which was admitted, has been sent to an upstream.
+	Dispatched(now time.Duration, r *Request)
+	// Rank sets the fields of r that Less compares, as of now, and returns when they change by the passing of time alone.
+	Rank(now time.Duration, r *Request) (until time.Duration)
+	// Hold reports whether r should stay in the queue although c.Prefill could take it, beside Choice.Defer.
+	Hold(r *Request, c Choice) bool
+	// Changes counts the other changes that affect the order of queued requests.
+	Changes() uint64
+}
+
 // Observation is one measurement of an upstream.
 type Observation struct {
 	Upstream int
@@ -379,6 +401,17 @@
 	SetPeerGroup(i int, set string)
 }
 
+// SilenceTracker is a HealthTracker that leaves out upstreams that have not answered an abandoned call until they answer another
+// one.
+type SilenceTracker interface {
+	// Silent records that upstream i has not answered a call that was therefore abandoned.
+	Silent(now time.Duration, i int)
+	// Sent records that a request is sent to upstream i. Of a silent upstream, this is the only one for some time.
+	Sent(now time.Duration, i int)
+	// Answered records that upstream i has answered a call, whatever the answer.
+	Answered(now time.Duration, i int)
+}
+
 // Reasoner is a HealthTracker that returns the reason for an exclusion, in a few words for a log line.
 type Reasoner interface {
 	Reason(now time.Duration, i int) string
