peer: calls that collect and hand over usage counts

Cause: usage reports need the counts of all entry VMs at the holder of the duty. Change: CollectUsage and HandOverUsage in peer.v1, with handlers that are nil until a part registers them. Result: builds; a call without a handler is refused as unimplemented, as the others are.

--- a/peer/client.go
+++ b/peer/client.go
@@ -160,3 +160,14 @@
 	res, err := call(ctx, c, address, &peerv1.GetConfigurationRequest{Revision: revision}, peerv1connect.PeerServiceClient.GetConfiguration)
 	return res.GetRevision(), res.GetValue(), err
 }
+
+// CollectUsage asks the VM at address for its usage counts.
+func (c *Client) CollectUsage(ctx context.Context, address string, r *peerv1.CollectUsageRequest) (*peerv1.CollectUsageResponse, error) {
+	return call(ctx, c, address, r, peerv1connect.PeerServiceClient.CollectUsage)
+}
+
+// HandOverUsage gives usage counts to the VM at address.
+func (c *Client) HandOverUsage(ctx context.Context, address string, r *peerv1.HandOverUsageRequest) error {
+	_, err := call(ctx, c, address, r, peerv1connect.PeerServiceClient.HandOverUsage)
+	return err
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -1,5 +1,5 @@
-// Package peer is the connect-go service between entry VMs: claims, issued keys, member tables, limit shares and
-// configuration fetch.
+// Package peer is the connect-go service between entry VMs: claims, issued keys, member tables, limit shares,
+// configuration fetch and usage counts.
 //
 // Invariants: a call without a valid authentication code of the shared secret is refused before any handler runs;
 // every call has a timeout; every message is bounded. The package is independent of the features that use it: the
@@ -41,6 +41,8 @@
 	IssuedKey        func(context.Context, *peerv1.IssuedKeyRequest) (*peerv1.IssuedKeyResponse, error)
 	ExchangeShares   func(context.Context, *peerv1.ExchangeSharesRequest) (*peerv1.ExchangeSharesResponse, error)
 	GetConfiguration func(ctx context.Context, revision uint64) (got uint64, value []byte, err error)
+	CollectUsage     func(context.Context, *peerv1.CollectUsageRequest) (*peerv1.CollectUsageResponse, error)
+	HandOverUsage    func(context.Context, *peerv1.HandOverUsageRequest) (*peerv1.HandOverUsageResponse, error)
 }
 
 // Options configures a Server.
@@ -163,3 +165,11 @@
 	}
 	return handleCall(ctx, f, r)
 }
+
+func (s *service) CollectUsage(ctx context.Context, r *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error) {
+	return handleCall(ctx, s.h.CollectUsage, r)
+}
+
+func (s *service) HandOverUsage(ctx context.Context, r *connect.Request[peerv1.HandOverUsageRequest]) (*connect.Response[peerv1.HandOverUsageResponse], error) {
+	return handleCall(ctx, s.h.HandOverUsage, r)
+}
--- a/peer/peerv1/peerv1connect/peer.connect.go
+++ b/peer/peerv1/peerv1connect/peer.connect.go
@@ -46,6 +46,12 @@
 	// PeerServiceGetConfigurationProcedure is the fully-qualified name of the PeerService's
 	// GetConfiguration RPC.
 	PeerServiceGetConfigurationProcedure = "/peer.v1.PeerService/GetConfiguration"
+	// PeerServiceCollectUsageProcedure is the fully-qualified name of the PeerService's CollectUsage
+	// RPC.
+	PeerServiceCollectUsageProcedure = "/peer.v1.PeerService/CollectUsage"
+	// PeerServiceHandOverUsageProcedure is the fully-qualified name of the PeerService's HandOverUsage
+	// RPC.
+	PeerServiceHandOverUsageProcedure = "/peer.v1.PeerService/HandOverUsage"
 )
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
@@ -60,6 +66,10 @@
 	ExchangeShares(context.Context, *connect.Request[peerv1.ExchangeSharesRequest]) (*connect.Response[peerv1.ExchangeSharesResponse], error)
 	// GetConfiguration returns an encoded configuration.
 	GetConfiguration(context.Context, *connect.Request[peerv1.GetConfigurationRequest]) (*connect.Response[peerv1.GetConfigurationResponse], error)
+	// CollectUsage returns the requests that began to run by window and account.
+	CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error)
+	// HandOverUsage gives the counts of an entry VM that stops to another one.
+	HandOverUsage(context.Context, *connect.Request[peerv1.HandOverUsageRequest]) (*connect.Response[peerv1.HandOverUsageResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the peer.v1.PeerService service. By default, it uses
@@ -103,6 +113,18 @@
 			connect.WithSchema(peerServiceMethods.ByName("GetConfiguration")),
 			connect.WithClientOptions(opts...),
 		),
+		collectUsage: connect.NewClient[peerv1.CollectUsageRequest, peerv1.CollectUsageResponse](
+			httpClient,
+			baseURL+PeerServiceCollectUsageProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("CollectUsage")),
+			connect.WithClientOptions(opts...),
+		),
+		handOverUsage: connect.NewClient[peerv1.HandOverUsageRequest, peerv1.HandOverUsageResponse](
+			httpClient,
+			baseURL+PeerServiceHandOverUsageProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("HandOverUsage")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -113,6 +135,8 @@
 	issuedKey        *connect.Client[peerv1.IssuedKeyRequest, peerv1.IssuedKeyResponse]
 	exchangeShares   *connect.Client[peerv1.ExchangeSharesRequest, peerv1.ExchangeSharesResponse]
 	getConfiguration *connect.Client[peerv1.GetConfigurationRequest, peerv1.GetConfigurationResponse]
+	collectUsage     *connect.Client[peerv1.CollectUsageRequest, peerv1.CollectUsageResponse]
+	handOverUsage    *connect.Client[peerv1.HandOverUsageRequest, peerv1.HandOverUsageResponse]
 }
 
 // ExchangeTable calls peer.v1.PeerService.ExchangeTable.
@@ -140,6 +164,16 @@
 	return c.getConfiguration.CallUnary(ctx, req)
 }
 
+// CollectUsage calls peer.v1.PeerService.CollectUsage.
+func (c *peerServiceClient) CollectUsage(ctx context.Context, req *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error) {
+	return c.collectUsage.CallUnary(ctx, req)
+}
+
+// HandOverUsage calls peer.v1.PeerService.HandOverUsage.
+func (c *peerServiceClient) HandOverUsage(ctx context.Context, req *connect.Request[peerv1.HandOverUsageRequest]) (*connect.Response[peerv1.HandOverUsageResponse], error) {
+	return c.handOverUsage.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// ExchangeTable compares member tables and sends the differences.
@@ -152,6 +186,10 @@
 	ExchangeShares(context.Context, *connect.Request[peerv1.ExchangeSharesRequest]) (*connect.Response[peerv1.ExchangeSharesResponse], error)
 	// GetConfiguration returns an encoded configuration.
 	GetConfiguration(context.Context, *connect.Request[peerv1.GetConfigurationRequest]) (*connect.Response[peerv1.GetConfigurationResponse], error)
+	// CollectUsage returns the requests that began to run by window and account.
+	CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error)
+	// HandOverUsage gives the counts of an entry VM that stops to another one.
+	HandOverUsage(context.Context, *connect.Request[peerv1.HandOverUsageRequest]) (*connect.Response[peerv1.HandOverUsageResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -191,6 +229,18 @@
 		connect.WithSchema(peerServiceMethods.ByName("GetConfiguration")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCollectUsageHandler := connect.NewUnaryHandler(
+		PeerServiceCollectUsageProcedure,
+		svc.CollectUsage,
+		connect.WithSchema(peerServiceMethods.ByName("CollectUsage")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerServiceHandOverUsageHandler := connect.NewUnaryHandler(
+		PeerServiceHandOverUsageProcedure,
+		svc.HandOverUsage,
+		connect.WithSchema(peerServiceMethods.ByName("HandOverUsage")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeTableProcedure:
@@ -203,6 +253,10 @@
 			peerServiceExchangeSharesHandler.ServeHTTP(w, r)
 		case PeerServiceGetConfigurationProcedure:
 			peerServiceGetConfigurationHandler.ServeHTTP(w, r)
+		case PeerServiceCollectUsageProcedure:
+			peerServiceCollectUsageHandler.ServeHTTP(w, r)
+		case PeerServiceHandOverUsageProcedure:
+			peerServiceHandOverUsageHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -231,3 +285,11 @@
 func (UnimplementedPeerServiceHandler) GetConfiguration(context.Context, *connect.Request[peerv1.GetConfigurationRequest]) (*connect.Response[peerv1.GetConfigurationResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.GetConfiguration is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) CollectUsage(context.Context, *connect.Request[peerv1.CollectUsageRequest]) (*connect.Response[peerv1.CollectUsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.CollectUsage is not implemented"))
+}
+
+func (UnimplementedPeerServiceHandler) HandOverUsage(context.Context, *connect.Request[peerv1.HandOverUsageRequest]) (*connect.Response[peerv1.HandOverUsageResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.HandOverUsage is not implemented"))
+}
