usage: counts requests by account and reports them in windows of true time

Cause: usage is not reported to the platform. Change: package usage with Counter (buckets of 25 ms of the boot clock, 8 windows) and Reporter, a duty that collects from all VMs, records a report in the store and then sends it; edge builds one lease for all duties and starts the reporter with the first configuration that has accounts; forward calls OnBegan once for a request with an account.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -53,6 +53,7 @@
 	catalog           *catalog.Catalog
 	list              *membership.Service
 	peers             *peer.Client
+	handlers          *peer.Handlers // of the peers' calls
 	loads             *loads.Exchange
 	permits           *permits.Exchange
 	pool              *conns.Pool
@@ -62,6 +63,8 @@
 	crashesLoaded     <-chan struct{} // closed when crashes has what is stored
 	startedAt         time.Time
 	versions          *versions.Keeper
+	duties            duties
+	accounts          func() bool // the configuration has accounts; nil: it never has
 	servers           []*server
 	group             run.Group
 	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
@@ -82,6 +85,7 @@
 	if err := e.buildPeers(); err != nil {
 		return nil, err
 	}
+	e.buildCounter()
 	e.buildCatalog()
 	e.buildVersions()
 	if err := e.buildGateway(); err != nil {
@@ -96,7 +100,7 @@
 	if err := e.listen(o.Metrics); err != nil {
 		return nil, err
 	}
-	e.buildRoles()
+	e.buildDuties()
 	e.addRemainingActors()
 	return e, nil
 }
@@ -145,8 +149,8 @@
 		return trace.Wrap(err)
 	}
 	e.peers = peer.NewClient(peer.ClientOptions{Secret: e.settings.PeerSecret, Timeout: peerTimeout})
-	handlers := &peer.Handlers{}
-	service, err := peer.New(peer.Options{Listener: listener, Secret: e.settings.PeerSecret, Handlers: handlers})
+	e.handlers = &peer.Handlers{}
+	service, err := peer.New(peer.Options{Listener: listener, Secret: e.settings.PeerSecret, Handlers: e.handlers})
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -165,8 +169,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	handlers.ExchangeTable = e.list.ExchangeTable
-	handlers.GetConfiguration = func(ctx context.Context, after uint64) (uint64, []byte, error) { return e.catalog.Export(ctx, after) }
+	e.handlers.ExchangeTable = e.list.ExchangeTable
+	e.handlers.GetConfiguration = func(ctx context.Context, after uint64) (uint64, []byte, error) { return e.catalog.Export(ctx, after) }
 	e.addActor("peers", service.Run)
 	return nil
 }
@@ -263,6 +267,7 @@
 		OnPlaced: func(parts []policy.Part, upstreams ...string) { e.loads.QueuePlacement(parts, upstreams...) },
 		OnSend:   func() { e.loads.TriggerRound() },
 		OnLimit:  func() { e.permits.Trigger() },
+		OnBegan:  e.countUsage,
 		OnLeaving: func(upstream string) {
 			e.markLeaving(upstream, "upstream")
 			e.loads.QueueGone(upstream)
@@ -389,6 +394,7 @@
 	e.log.Info("serving", zap.String("vm", e.settings.VM), zap.String("data_centre", e.settings.DataCentre), zap.String("callers", e.settings.Listen.Callers),
 		zap.Uint64("boot", e.boot), zap.Int64("memory", e.settings.ResourceLimits.MemoryBytes), zap.Float64("cpus", e.settings.ResourceLimits.CPUs))
 	err := e.group.Run()
+	e.stopDuties()
 	e.pool.Close()
 	e.peers.Close()
 	e.log.Info("stopped", zap.Error(err))
--- a/edge/roles.go
+++ b/edge/roles.go
@@ -4,38 +4,19 @@
 	"context"
 	"time"
 
-	"bergamotcroft.example/bergamot/lease"
 	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/roles"
 	"bergamotcroft.example/bergamot/scheduler"
 	"bergamotcroft.example/bergamot/store"
 )
 
-const (
-	// leaseTerm is above the platform's lease bound, within which the holder must not change: 3 s in current
-	// deployments.
-	leaseTerm = 10 * time.Second
-	// roleGroup is the only lease group: one entry VM sends all orders.
-	roleGroup = 0
-	// handOverMargin covers an order of the previous holder that was still in flight.
-	handOverMargin = time.Second
-	// leaseCandidates is the number of entry VMs that watch the lease in addition to its holder.
-	leaseCandidates = 2
-)
-
-// buildRoles creates the lease and the controller of the engines' roles.
+// buildRoles creates the controller of the engines' roles.
 func (e *Edge) buildRoles() {
-	clock := store.BootClock{}
-	leases := lease.New(lease.Options{
-		Store: e.objects, Members: e.list, Name: e.settings.VM, Incarnation: e.boot, Groups: 1, Term: max(leaseTerm, 3*e.settings.Bounds.Lease),
-		Candidates: leaseCandidates, Era: e.objects.Era, Clock: clock, Logger: e.log,
-	})
 	orders := platform.OrderClient{Pool: e.pool, OnAnswer: e.front.ApplyAvailability}
 	control := roles.New(roles.Options{
-		Lease: leases, Group: roleGroup, Holder: e.settings.VM, Engines: e.engines, Inspect: orders.Inspect, Send: orders.Send,
-		Clock: clock, Log: e.log, HandOverPause: e.settings.Bounds.Lease + handOverMargin,
+		Lease: e.duties.lease, Group: dutyGroup, Holder: e.settings.VM, Engines: e.engines, Inspect: orders.Inspect, Send: orders.Send,
+		Clock: store.BootClock{}, Log: e.log, HandOverPause: e.handOverPause(),
 	})
-	e.addActor("lease", leases.Run)
 	e.addActor("roles", control.Run)
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -272,6 +272,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	e.finishRequests(p.closing)
+	e.handOverUsage()
 	e.log.Info("drained", zap.Duration("took", time.Since(start)), zap.Int64("connections", e.callers().openConns.Load()), zap.Int64("busy", e.callers().busyConns.Load()))
 }
 
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -64,6 +64,7 @@
 	}
 	e.upstreamAddresses = current
 	e.versions.SetServices(streamServices(&s))
+	e.startDuties()
 	return e.gateway.Do(ctx, func(_ time.Duration, sched *scheduler.Scheduler) { sched.SetUpstreams(list) })
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -57,9 +57,10 @@
 	}
 	x.sends.Add(1)
 	run := x.beginRun(to)
-	sentAt := time.Now()
+	sentAt, began := time.Now(), x.usageTime()
 	r, err := x.f.opts.Pool.Do(ctx, to.Address, x.upstreamRequest(s))
 	if err != nil {
+		x.countSend(began, s, err)
 		return nil, Answer{}, run.failure(ctx, err)
 	}
 	resp := &runResponse{r, run}
@@ -69,6 +70,7 @@
 	}
 	x.f.ApplyAvailability(to.Name, a)
 	if a.Executed || !a.Named {
+		x.countSend(began, s, nil)
 		if a.Proof || s.Stage == PromptOnly && resp.Status == http.StatusOK {
 			x.f.applyNoLimit(to.Name, a, sentAt)
 		}
@@ -402,6 +404,9 @@
 		if err != nil {
 			return resp.run.failure(ctx, resp.Failure(err))
 		}
+		if first && ev.data {
+			x.countRun(x.usageTime())
+		}
 		if sinceProgress += len(ev.raw); len(ev.id) > 0 {
 			sinceProgress = 0
 		} else if sinceProgress > maxWithoutProgress {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -52,6 +52,9 @@
 	OnSend func()
 	// OnLimit is called after an answer that names a limit of its upstream has been passed to the gateway.
 	OnLimit func()
+	// OnBegan is called once for each request of an account that an upstream has begun to run, or may have, with the time of
+	// store.BootClock at which it began: a stream with its first event, another request when it was sent.
+	OnBegan func(account string, at time.Time)
 	// OnLeaving is called when an upstream states that it takes no new work, or when another upstream has its address.
 	OnLeaving func(upstream string)
 }
@@ -88,6 +91,9 @@
 	if o.OnLimit == nil {
 		o.OnLimit = func() {}
 	}
+	if o.OnBegan == nil {
+		o.OnBegan = func(string, time.Time) {}
+	}
 	if o.OnLeaving == nil {
 		o.OnLeaving = func(string) {}
 	}
@@ -176,6 +182,8 @@
 	answer          *bufferedAnswer                // answer that is written to the caller in one piece
 	fallback        atomic.Pointer[bufferedAnswer] // an upstream's failure, used if no other attempt succeeds
 	sends           atomic.Int32
+	account         string      // name of the account that the request counts for; empty: none
+	counted         atomic.Bool // OnBegan has been called
 	firstEventAfter time.Duration
 }
 
