--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -103,6 +103,7 @@
 	next      int64             // first window that is not reported; 0: not known yet
 	nextLoad  time.Time         // no call to the store before this time
 	failures  int               // consecutive, of calls to the store
+	cutOff    time.Time         // when most VMs last failed to answer in time; all of them are asked again after that
 	collector collector
 }
 
@@ -242,8 +243,18 @@
 	for ; next < present; next++ {
 		end := r.collector.steadyTime(EndOf(next, r.o.Window))
 		answered, expected, known := r.collector.answeredSince(end.Add(settleTime))
-		waited := !r.clock().Before(end.Add(wait)) && !r.clock().Before(r.firstStep.Add(wait))
-		if r.clock().Before(end.Add(settleTime)) || answered < expected && !waited || float64(answered) < minAnswered*float64(known) {
+		now := r.clock()
+		if now.Before(end.Add(settleTime)) {
+			break
+		}
+		waited := !now.Before(end.Add(wait)) && !now.Before(r.firstStep.Add(wait))
+		if float64(answered) < minAnswered*float64(known) {
+			if waited {
+				r.cutOff = now
+			}
+			break
+		}
+		if answered < expected && (!waited || now.Before(r.cutOff.Add(r.collector.round()*3/2))) {
 			break
 		}
 		if answered < expected {
