usage: tests of a write that was lost and of a holder before a restored store

Cause: two faults put in on purpose were not found: a lost write replaced by a later one, and memory of an earlier term taken for whole. Change: one test for each.

--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -120,13 +120,15 @@
 	w.check(first, w.window()-2, 0)
 }
 
-// Guards against different reports for a window after the store was set back to a copy without the record of it.
+// Guards against different reports for a window after the store was set back to a copy without the record of it: of the same
+// holder, and of one that held the duty before the VM that made the reports.
 func TestAStoreSetBackToACopy(t *testing.T) {
 	is := is.New(t)
 	for _, killed := range []bool{false, true} {
 		w := newWorld(t, 0, 0, 0, 0, 0, 0)
 		first := w.window() + 1
 		w.run(15 * time.Second)
+		w.takeOver(w.vms[1], 15*time.Second)
 		copied := w.object
 		w.run(15 * time.Second)
 		w.object, w.era = copied, w.era+1
@@ -136,13 +138,31 @@
 			continue
 		}
 		last := w.window()
-		w.vms[0].dead = true
-		w.takeOver(w.vms[1], 30*time.Second) // send fails the test at a different report
+		w.vms[1].dead = true
+		w.takeOver(w.vms[0], 30*time.Second) // send fails the test at a different report
 		w.check(last+4, w.window()-2, 0)
 		is.True(w.reports[last+4] != nil)
 	}
 }
 
+// Guards against a report that is sent as an earlier write, whose answer was lost, has it and then as a later write has it, with
+// requests that were counted in between.
+func TestALostWriteIsNotReplaced(t *testing.T) {
+	w := newWorld(t, 0, 0, 0)
+	first := w.window() + 1
+	w.run(7 * time.Second)
+	w.lostPuts = 1
+	w.run(5 * time.Second) // the store is away from the write on
+	sent := w.now.Add(-5 * time.Second)
+	w.vms[2].counter.BeganAt("account0", sent)
+	w.truth[WindowOf(sent.Add(w.offset), window)]["account0"]++
+	w.storeDown, w.putsDown = false, true
+	w.run(2 * time.Second)
+	w.putsDown = false
+	w.run(20 * time.Second)
+	w.check(first, w.window()-2, 1)
+}
+
 // Guards against any other order of faults after which a window has two different reports, or a VM without the lease sends.
 func TestReportsNeverDiffer(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/usage/world_test.go
+++ b/usage/world_test.go
@@ -43,6 +43,7 @@
 	era       uint64
 	lostPuts  int // writes that are carried out without an answer
 	storeDown bool
+	putsDown  bool // writes only
 	onPut     func()
 
 	down     bool // the platform answers nothing
@@ -219,7 +220,7 @@
 		f()
 	}
 	switch {
-	case w.storeDown:
+	case w.storeDown || w.putsDown:
 		return 0, store.ErrUnavailable
 	case o.Version != w.object.Version:
 		return 0, store.ErrConflict
