--- a/edge/duties.go
+++ b/edge/duties.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -87,6 +88,9 @@
 	}
 }
 
+// defaultUsageDue is the time until a report is late, in windows, where the settings state none.
+const defaultUsageDue = 2
+
 // buildReporter creates the duty that reports usage. It runs from the first configuration with accounts on.
 func (e *Edge) buildReporter() {
 	if e.duties.counter == nil {
@@ -94,7 +98,7 @@
 	}
 	client := platform.DutyClient{Pool: e.pool, Address: e.settings.Duties.Address, Holder: e.settings.VM}
 	e.duties.reporter = usage.NewReporter(usage.ReporterOptions{
-		Lease: e.duties.lease, Group: dutyGroup, HandOverPause: e.handOverPause(), Window: e.settings.Duties.UsageWindow, Due: e.settings.Duties.UsageDue,
+		Lease: e.duties.lease, Group: dutyGroup, HandOverPause: e.handOverPause(), Window: e.settings.Duties.UsageWindow, Due: cmp.Or(e.settings.Duties.UsageDue, defaultUsageDue*e.settings.Duties.UsageWindow),
 		Counter: e.duties.counter, Members: e.usageMembers, Collect: e.collectUsage, Era: e.objects.Era, Active: e.hasAccounts, Log: e.log,
 		Record: &duty.Record[usage.Record]{Store: e.objects, Name: "usage", Writer: e.settings.VM},
 		Send: func(ctx context.Context, t lease.Token, window int64, counts map[string]int) error {
--- /dev/null
+++ b/edge/duties_test.go
@@ -0,0 +1,143 @@
+package edge
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/platform/standin"
+)
+
+// usageAPI is the platform's API for reports.
+type usageAPI struct {
+	t       *testing.T
+	mu      sync.Mutex
+	reports map[int64]map[string]int
+	holder  string
+}
+
+func (a *usageAPI) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	var report struct {
+		Window int64          `json:"window_id"`
+		Counts map[string]int `json:"counts"`
+	}
+	err := json.NewDecoder(r.Body).Decode(&report)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if old, ok := a.reports[report.Window]; err != nil || r.URL.Path != "/usage" || r.Header.Get("Fencing-Token") == "" || ok && !maps.Equal(old, report.Counts) {
+		a.t.Errorf("%s %v %v: %v after %v", r.URL.Path, r.Header, err, report, old)
+	}
+	a.reports[report.Window], a.holder = report.Counts, r.Header.Get("Duty-Holder")
+}
+
+// total returns the requests in all reports, and the last holder.
+func (a *usageAPI) total(account string) (n int, holder string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, counts := range a.reports {
+		n += counts[account]
+	}
+	return n, a.holder
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(2 * time.Minute); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// Guards against counts that a planned stop of the holder loses or counts twice, between VMs that speak over the network, and against
+// a deployment without accounts that reports.
+func TestUsageOfAVMThatStopsIsReported(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewStore()
+	is.NoErr(store.Put("config", "main", standin.Config(1, "h", "app", time.Second)))
+	storeServer := httptest.NewServer(store)
+	defer storeServer.Close()
+	api := &usageAPI{t: t, reports: map[int64]map[string]int{}}
+	apiServer := httptest.NewServer(api)
+	defer apiServer.Close()
+	edges := map[string]*Edge{}
+	ended := map[string]chan error{}
+	subnet := os.Getpid() % 250
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.77.%d.1:0", subnet))
+	is.NoErr(err)
+	port := l.Addr().(*net.TCPAddr).Port
+	is.NoErr(l.Close())
+	for i := range 3 {
+		ip := fmt.Sprintf("127.77.%d.%d", subnet, i+1)
+		name := fmt.Sprint("vm", i)
+		var seeds []string
+		for _, e := range edges {
+			seeds = append(seeds, e.peerAddress())
+		}
+		b, err := json.Marshal(map[string]any{
+			"node": name, "ip": ip, "zone": "z", "port_range": []int{port, port + 8}, "seeds": seeds,
+			"listen": map[string]string{"front": net.JoinHostPort(ip, fmt.Sprint(port+5)), "ready": net.JoinHostPort(ip, fmt.Sprint(port+6))},
+			"bounds": map[string]any{"grace_s": 5, "lease_ms": 300, "window_s": 2, "usage_late_s": 4, "ttl_max_s": 1}, "heartbeat_ms": 1000,
+			"platform": map[string]any{"address": storeServer.Listener.Addr().String()},
+			"cloud":    map[string]any{"address": apiServer.Listener.Addr().String(), "duties": []string{"usage"}, "duty_per_s": 50},
+		})
+		is.NoErr(err)
+		settings, err := platform.ParseSettings(b)
+		is.NoErr(err)
+		e, err := New(Options{Settings: settings, Log: zap.NewNop()})
+		is.NoErr(err)
+		e.accounts = func() bool { return true }
+		done := make(chan error, 1)
+		edges[name], ended[name] = e, done
+		go func() { done <- e.Run() }()
+	}
+	defer func() {
+		for name, e := range edges {
+			e.Stop(time.Now())
+			is.NoErr(<-ended[name])
+		}
+	}()
+	await(t, "the VMs know one another", func() bool {
+		for _, e := range edges {
+			if len(e.usageMembers()) != 2 || e.catalog.Table() == nil {
+				return false
+			}
+		}
+		return true
+	})
+	for _, e := range edges {
+		for range 10 {
+			e.duties.counter.Began("a")
+		}
+	}
+	await(t, "30 requests are reported", func() bool { n, _ := api.total("a"); return n == 30 })
+	_, holder := api.total("a")
+	stopped := edges[holder]
+	delete(edges, holder)
+	stopped.Stop(time.Now())
+	await(t, "the stop has begun", stopped.leaving.Load)
+	time.Sleep(minDrainTime - time.Second) // the counts come late in the stop
+	for range 7 {
+		stopped.duties.counter.Began("a")
+	}
+	is.NoErr(<-ended[holder])
+	await(t, "37 requests are reported", func() bool { n, by := api.total("a"); return n == 37 && by != holder })
+	for _, e := range edges {
+		e.duties.counter.Began("b")
+	}
+	await(t, "reports go on", func() bool { n, _ := api.total("b"); return n == 2 })
+	n, _ := api.total("a")
+	is.Equal(n, 37)
+}
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -20,9 +20,9 @@
 	// bucketTime is the precision of a count's time. It shifts at most 1/200 of the counts of a window of 5 s to a
 	// neighbour.
 	bucketTime = 25 * time.Millisecond
-	// maxSources bounds the stopped VMs whose counts are kept. In a release, every VM may stop within the windows kept,
-	// but each hands over to two others only.
-	maxSources = 64
+	// maxSources bounds the stopped VMs whose counts are kept. The holder gets those of all VMs that stop within the windows
+	// kept.
+	maxSources = 128
 )
 
 // Counts holds requests by account.
