--- a/forward/forward.go
+++ b/forward/forward.go
@@ -182,7 +182,7 @@
 	answer          *bufferedAnswer                // answer that is written to the caller in one piece
 	fallback        atomic.Pointer[bufferedAnswer] // an upstream's failure, used if no other attempt succeeds
 	sends           atomic.Int32
-	account         string      // name of the account that the request counts for; empty: none
+	usageAccount    string      // name of the account that the request counts for; empty: none
 	counted         atomic.Bool // OnBegan has been called
 	firstEventAfter time.Duration
 }
--- a/forward/usage.go
+++ b/forward/usage.go
@@ -11,7 +11,7 @@
 
 // usageTime returns the time by the clock of OnBegan, the zero time if the request counts for no account.
 func (x *exchange) usageTime() time.Time {
-	if x.account == "" {
+	if x.usageAccount == "" {
 		return time.Time{}
 	}
 	return store.BootClock{}.Now()
@@ -19,8 +19,8 @@
 
 // countRun counts the request as begun at a time. A request counts once, however many upstreams run it.
 func (x *exchange) countRun(at time.Time) {
-	if x.account != "" && x.counted.CompareAndSwap(false, true) {
-		x.f.opts.OnBegan(x.account, at)
+	if x.usageAccount != "" && x.counted.CompareAndSwap(false, true) {
+		x.f.opts.OnBegan(x.usageAccount, at)
 	}
 }
 
--- a/forward/usage_test.go
+++ b/forward/usage_test.go
@@ -40,7 +40,7 @@
 				is.Equal(account, c.account)
 				got = append(got, at)
 			}})
-			x := &exchange{f: f, route: &routes.Route{Kind: c.kind}, account: c.account}
+			x := &exchange{f: f, route: &routes.Route{Kind: c.kind}, usageAccount: c.account}
 			for _, err := range c.errs {
 				x.countSend(sent, &Send{Stage: c.stage}, err)
 			}
