standin: an API for usage reports that records breaches; the soak's fleet can use it

Cause: the soak and tests of duties need one receiver that knows the platform's rules. Change: standin.Duties (different reports, holders that alternate, fencing numbers that go back, calls without an answer), used by edge's test; settings of the soak's entry VMs name it when asked.

--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -3,12 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
 	"net"
-	"net/http"
 	"net/http/httptest"
 	"os"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,36 +16,12 @@
 	"bergamotcroft.example/bergamot/platform/standin"
 )
 
-// usageAPI is the platform's API for reports.
-type usageAPI struct {
-	t       *testing.T
-	mu      sync.Mutex
-	reports map[int64]map[string]int
-	holder  string
-}
-
-func (a *usageAPI) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
-	var report struct {
-		Window int64          `json:"window_id"`
-		Counts map[string]int `json:"counts"`
-	}
-	err := json.NewDecoder(r.Body).Decode(&report)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if old, ok := a.reports[report.Window]; err != nil || r.URL.Path != "/usage" || r.Header.Get("Fencing-Token") == "" || ok && !maps.Equal(old, report.Counts) {
-		a.t.Errorf("%s %v %v: %v after %v", r.URL.Path, r.Header, err, report, old)
-	}
-	a.reports[report.Window], a.holder = report.Counts, r.Header.Get("Duty-Holder")
-}
-
-// total returns the requests in all reports, and the last holder.
-func (a *usageAPI) total(account string) (n int, holder string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, counts := range a.reports {
+// total returns the requests of an account in all reports.
+func total(api *standin.Duties, account string) (n int) {
+	for _, counts := range api.Reports() {
 		n += counts[account]
 	}
-	return n, a.holder
+	return n
 }
 
 // await waits until a condition holds.
@@ -69,7 +42,7 @@
 	is.NoErr(store.Put("config", "main", standin.Config(1, "h", "app", time.Second)))
 	storeServer := httptest.NewServer(store)
 	defer storeServer.Close()
-	api := &usageAPI{t: t, reports: map[int64]map[string]int{}}
+	api := standin.NewDuties(300 * time.Millisecond)
 	apiServer := httptest.NewServer(api)
 	defer apiServer.Close()
 	edges := map[string]*Edge{}
@@ -122,8 +95,8 @@
 			e.duties.counter.Began("a")
 		}
 	}
-	await(t, "30 requests are reported", func() bool { n, _ := api.total("a"); return n == 30 })
-	_, holder := api.total("a")
+	await(t, "30 requests are reported", func() bool { return total(api, "a") == 30 })
+	holder := api.Holder()
 	stopped := edges[holder]
 	delete(edges, holder)
 	stopped.Stop(time.Now())
@@ -133,11 +106,11 @@
 		stopped.duties.counter.Began("a")
 	}
 	is.NoErr(<-ended[holder])
-	await(t, "37 requests are reported", func() bool { n, by := api.total("a"); return n == 37 && by != holder })
+	await(t, "37 requests are reported", func() bool { return total(api, "a") == 37 && api.Holder() != holder })
 	for _, e := range edges {
 		e.duties.counter.Began("b")
 	}
-	await(t, "reports go on", func() bool { n, _ := api.total("b"); return n == 2 })
-	n, _ := api.total("a")
-	is.Equal(n, 37)
+	await(t, "reports go on", func() bool { return total(api, "b") == 2 })
+	is.Equal(total(api, "a"), 37)
+	is.Equal(len(api.Breaches()), 0)
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -32,6 +32,8 @@
 	stopGrace     = 8 * time.Second
 	routeTimeout  = 4 * time.Second
 	recoverWithin = 12 * time.Second
+	leaseBound    = 3 * time.Second
+	usageWindow   = 5 * time.Second
 	// clientDeadline exceeds the route's limit, so that the entry VM has to enforce the limit.
 	clientDeadline = 2 * routeTimeout
 )
@@ -210,7 +212,7 @@
 	for _, s := range fl.entries[:min(3, len(fl.entries))] {
 		seeds = append(seeds, fl.address(s, portPeers))
 	}
-	b, err := json.Marshal(map[string]any{
+	settings := map[string]any{
 		"node": e.name, "ip": e.ip, "zone": e.dataCentre, "region": "r", "seeds": seeds,
 		"port_range": []int{fl.basePort + portRangeStart, fl.basePort + portCount - 1},
 		"listen": map[string]string{"front": fl.address(e, portCallers), "ready": fl.address(e, portReady), "control": fl.address(e, portPeers),
@@ -218,9 +220,14 @@
 		"limits":       map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": memoryMB, "max_fds": 4100},
 		"heartbeat_ms": 1200,
 		"bounds": map[string]any{"drain_ms": leavingWithin.Milliseconds(), "config_ms": configWithin.Milliseconds(), "grace_s": stopGrace.Seconds(),
-			"budget_ratio": 0.2, "budget_slack": 60, "budget_window_s": 10, "ttl_max_s": 5, "lease_ms": 3000, "require_fence": false},
+			"budget_ratio": 0.2, "budget_slack": 60, "budget_window_s": 10, "ttl_max_s": 5, "lease_ms": leaseBound.Milliseconds(), "require_fence": false,
+			"window_s": usageWindow.Seconds(), "usage_late_s": 2 * usageWindow.Seconds()},
 		"platform": map[string]any{"address": e.store.address(), "writes_per_s": 400, "reads_per_s": 2000, "value_bytes": 1 << 20},
-	})
+	}
+	if a := fl.options.dutiesAddress; a != "" {
+		settings["cloud"] = map[string]any{"address": a, "duties": []string{"usage"}, "duty_per_s": 50}
+	}
+	b, err := json.Marshal(settings)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -33,6 +33,7 @@
 	Output  io.Writer
 
 	editConfiguration func(json.RawMessage) json.RawMessage // called before each configuration is written; nil: none
+	dutiesAddress     string                                // of a standin.Duties; empty: no usage is reported
 }
 
 const (
