--- a/gateway/view.go
+++ b/gateway/view.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotcroft.example/bergamot/accounts"
 	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/scheduler"
 	"bergamotcroft.example/bergamot/topo"
@@ -19,24 +18,17 @@
 // view is a configuration with indexes for serving requests. It is immutable.
 type view struct {
 	config   *topo.Configuration
-	accounts map[[sha256.Size]byte]*topo.Account // by the hash of the API key
+	accounts *accounts.Index
 	models   map[string]*topo.Model
 	classes  map[string]*topo.Class
 	services map[string]*topo.Service
 }
 
-func newView(c *topo.Configuration) *view {
+// newView returns the view of a configuration. It is valid also with an error, which names accounts with faulty keys.
+func newView(c *topo.Configuration) (*view, error) {
+	index, err := accounts.New(c.Accounts)
 	v := &view{
-		config: c, accounts: make(map[[sha256.Size]byte]*topo.Account, len(c.Accounts)), models: map[string]*topo.Model{},
-		classes: map[string]*topo.Class{}, services: map[string]*topo.Service{},
-	}
-	for i := range c.Accounts {
-		for _, sha := range c.Accounts[i].KeySHA {
-			var key [sha256.Size]byte
-			if n, err := hex.Decode(key[:], []byte(sha)); err == nil && n == sha256.Size {
-				v.accounts[key] = &c.Accounts[i]
-			}
-		}
+		config: c, accounts: index, models: map[string]*topo.Model{}, classes: map[string]*topo.Class{}, services: map[string]*topo.Service{},
 	}
 	for i := range c.Models {
 		v.models[c.Models[i].Name] = &c.Models[i]
@@ -47,7 +39,7 @@
 	for i := range c.Services {
 		v.services[c.Services[i].Name] = &c.Services[i]
 	}
-	return v
+	return v, err
 }
 
 // adopt applies a configuration, unless a newer one is in force.
@@ -63,7 +55,11 @@
 		g.opts.Log.Warn("configuration not adopted", zap.Uint64("revision", c.Revision), zap.Error(err))
 		return
 	}
-	g.view.Store(newView(c))
+	v, err := newView(c)
+	if err != nil {
+		g.opts.Log.Warn("keys left out", zap.Uint64("revision", c.Revision), zap.Error(err))
+	}
+	g.view.Store(v)
 }
 
 // maxKeyBytes is the maximum length of an API key; longer ones are rejected without hashing them.
@@ -71,11 +67,11 @@
 
 // authenticate returns the account of a request, by its API key.
 func (v *view) authenticate(r *http.Request) (*topo.Account, *result.Error) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" || len(key) > maxKeyBytes {
+	key := accounts.BearerKey(r.Header.Get("Authorization"))
+	if key == "" || len(key) > maxKeyBytes {
 		return nil, result.New(result.Unauthenticated, "send an API key as Authorization: Bearer KEY")
 	}
-	a, ok := v.accounts[sha256.Sum256([]byte(key))]
+	a, ok := v.accounts.Lookup(key)
 	if !ok {
 		return nil, result.New(result.Unauthenticated, "the API key is not known")
 	}
