forward, platform: requests are admitted by the API keys of the configuration's accounts

Cause: upstreams get each caller's key, and requests with keys that no configuration contains, or that were removed, are served. Change: the configuration's tenants and a route's public are decoded; keys are kept as hashes only. A request is identified after its route is found and before its body is read; a key that is missing or unknown gets 401 (result code 1011), or 503 while the configuration is not confirmed. Before each send, that of a prompt too, the key is looked up again if the configuration has changed, unless the answer has begun. Upstreams get the account's name in Tenant and no Authorization. The account's priority precedes the route's; its name is policy.Request.Caller, and stands for the key in the fingerprint and the logs. Without tenants nothing changes.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -46,7 +46,7 @@
 	if x.route.Target > 0 && time.Since(x.arrival) > x.route.Target && x.events == 0 {
 		return urgencyLate
 	}
-	return min(urgencyFirst+urgencyStep*max(x.route.Priority, 0), urgencyLate-1)
+	return min(urgencyFirst+urgencyStep*max(x.priority(), 0), urgencyLate-1)
 }
 
 // roundTrip sends a request and returns the answer. It fails if the upstream states that it did not run the request. Such a statement
@@ -55,6 +55,9 @@
 	if err := x.checkSend(); err != nil {
 		return nil, Answer{}, err
 	}
+	if err := x.checkAccount(s); err != nil {
+		return nil, Answer{}, err
+	}
 	x.sends.Add(1)
 	run := x.beginRun(to)
 	sentAt := time.Now()
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -11,7 +11,8 @@
 // Call holds what a caller's request states in addition to method, path and body.
 type Call struct {
 	ID         string        // identifies this attempt of the caller
-	Caller     string        // the caller's credentials, which each of its requests has; empty: it has none
+	Caller     string        // the caller's account, or its credentials if the configuration has no accounts; empty: it has none
+	Key        string        // the caller's API key; empty: none. It must get into no log, metric or answer
 	Remaining  time.Duration // time that the caller will still wait; 0: not stated
 	Model      string
 	Prompt     int           // tokens
@@ -43,6 +44,9 @@
 	Handle    string // handle of the KV cache at Source
 	FetchFrom string // address of an engine whose cached pieces are fetched; empty: none
 	After     string // identifier of the last event received; empty: stream from the start
+	// HasAccounts is set if the configuration has accounts: the upstream gets the name of the caller's, if any, and no credentials.
+	HasAccounts bool
+	Account     string
 }
 
 // Answer holds what an upstream's response header states.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -27,6 +27,7 @@
 	"bergamotcroft.example/bergamot/quarantine"
 	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/routes"
+	"bergamotcroft.example/bergamot/topo"
 	"bergamotcroft.example/bergamot/versions"
 )
 
@@ -148,6 +149,7 @@
 	r           *http.Request
 	arrival     time.Time
 	call        Call
+	account     *topo.Account // of the caller when the request arrived; nil: none
 	table       *routes.Table
 	route       *routes.Route
 	service     string
@@ -198,17 +200,20 @@
 		return result.New(result.StaleEntryVM, "this entry VM has no configuration yet").WithRetryAfter(notReadyRetryAfter)
 	}
 	x.uri = x.r.RequestURI
-	path, _, _ := strings.Cut(x.uri, "?")
-	if x.route = x.table.Match(x.r.Host, path); x.route == nil {
+	if x.route = x.table.Match(x.r.Host, x.path()); x.route == nil {
 		if !f.opts.ConfigurationConfirmed() {
-			return result.New(result.StaleEntryVM, "this entry VM can't confirm its configuration").WithRetryAfter(notReadyRetryAfter)
+			return errUnconfirmed()
 		}
 		return result.New(result.UnknownRoute, "no route for this host and path")
 	}
-	var err *result.Error
-	if x.call, err = f.opts.Codec.ParseCall(x.r); err != nil {
+	var err, malformed *result.Error
+	x.call, malformed = f.opts.Codec.ParseCall(x.r)
+	if err = x.identify(); err != nil {
 		return err
 	}
+	if malformed != nil {
+		return malformed
+	}
 	if err = x.readBody(); err != nil {
 		return err
 	}
@@ -258,6 +263,12 @@
 	return nil
 }
 
+// path returns the path of the request as it was sent.
+func (x *exchange) path() string {
+	path, _, _ := strings.Cut(x.uri, "?")
+	return path
+}
+
 // notReadyRetryAfter is short: other entry VMs have a confirmed configuration.
 const notReadyRetryAfter = 50 * time.Millisecond
 
@@ -325,9 +336,12 @@
 func (x *exchange) gatewayWork() *gateway.Work {
 	g, call, route := x.f.opts.Gateway, &x.call, x.route
 	q := policy.Request{
-		Class: route.Name, Priority: route.Priority, Arrival: g.SchedulerTime(x.arrival), Deadline: g.SchedulerTime(x.deadline),
+		Class: route.Name, Priority: x.priority(), Arrival: g.SchedulerTime(x.arrival), Deadline: g.SchedulerTime(x.deadline),
 		Idempotent: route.Repeatable(), ResendsLimited: true, MaxResends: max(route.MaxUpstreams-1, 0),
 	}
+	if x.account != nil {
+		q.Caller, q.Weight = x.account.Caller, x.account.Weight
+	}
 	if route.Target > 0 {
 		q.FirstTokenTarget = q.Arrival + route.Target
 	}
--- a/forward/record.go
+++ b/forward/record.go
@@ -16,6 +16,7 @@
 type metricSet struct {
 	rejections, failures, leavingAnswers, retryLaterAnswers, limitAnswers, bodyMemory, crashes, outOfOrder *metrics.Counter
 	requests                                                                                               func(class string, code result.Code) *metrics.Counter
+	refusedKeys                                                                                            func(reason string) *metrics.Counter
 	latency, first                                                                                         func(class string) *metrics.Histogram
 }
 
@@ -33,6 +34,9 @@
 		retryLaterAnswers: metrics.GetOrCreateCounter("bergamot_forward_quiet_answers_total"),
 		limitAnswers:      metrics.GetOrCreateCounter("bergamot_forward_limit_answers_total"),
 	}
+	m.refusedKeys = func(reason string) *metrics.Counter {
+		return metrics.GetOrCreateCounter(`bergamot_forward_refused_keys_total{reason="` + reason + `"}`)
+	}
 	labels := newLabelLimiter(maxClassLabels)
 	m.requests = func(class string, code result.Code) *metrics.Counter {
 		return metrics.GetOrCreateCounter(`bergamot_forward_requests_total{class="` + labels.label(class) + `",result="` + code.Info().Name + `"}`)
@@ -92,7 +96,10 @@
 	if x.route != nil {
 		class = x.route.Name
 		fields = append(fields, zap.String("route", class), zap.Uint64("configuration", x.table.Version), zap.String("service", x.service),
-			zap.Int("priority", x.route.Priority), zap.Duration("target", x.route.Target))
+			zap.Int("priority", x.priority()), zap.Duration("target", x.route.Target))
+		if x.account != nil {
+			fields = append(fields, zap.String("account", x.account.Caller))
+		}
 	}
 	took := time.Since(x.arrival)
 	x.f.metrics.requests(class, code).Inc()
--- a/result/codes.go
+++ b/result/codes.go
@@ -34,6 +34,7 @@
 	UnknownRoute     Code = 1008
 	DeadlineTooShort Code = 1009
 	UnknownStream    Code = 1010
+	KeyRefused       Code = 1011
 
 	AccountRateLimit   Code = 2001
 	AccountConcurrency Code = 2002
@@ -103,6 +104,7 @@
 	{UnknownRoute, "unknown_route", http.StatusNotFound, NotRun, false, "The path or method is not served."},
 	{DeadlineTooShort, "deadline_too_short", http.StatusBadRequest, NotRun, false, "The deadline had passed on arrival."},
 	{UnknownStream, "unknown_stream", http.StatusNotFound, NotRun, false, "The stream identifier to resume is malformed or does not match the request."},
+	{KeyRefused, "key_refused", http.StatusUnauthorized, NotRun, false, "The route needs an API key, and the request has none that the configuration contains."},
 
 	{AccountRateLimit, "account_rate_limit", http.StatusTooManyRequests, NotRun, true, "The account's request or token rate is used up."},
 	{AccountConcurrency, "account_concurrency", http.StatusTooManyRequests, NotRun, true, "The account has its maximum of requests in flight."},
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"bergamotcroft.example/bergamot/accounts"
 )
 
 // Kind defines whether a request of a route may run more than once.
@@ -35,6 +37,7 @@
 	MaxUpstreams  int           // number of upstreams that one request may be sent to
 	Splits        []Split
 	SharesPrompts bool // requests list the parts of their prompts
+	Public        bool // requests need no API key, also if the table has accounts
 }
 
 // Split is a service that gets a share of a route's requests.
@@ -93,6 +96,7 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   Limits
+	Accounts *accounts.Index // nil: the configuration has no accounts, and requests need no API key
 
 	byHost map[string][]*Route
 }
--- a/topo/topo.go
+++ b/topo/topo.go
@@ -141,6 +141,9 @@
 	Models   []string          `json:"models,omitempty"`   // empty: all
 	Services []string          `json:"services,omitempty"` // empty: all
 	Versions map[string]string `json:"versions,omitempty"` // model to version, where the version differs from the default
+
+	// NoPriority is set if the platform's configuration states no Priority for the account: that of the route applies.
+	NoPriority bool `json:"-"`
 }
 
 // Configuration is the shared configuration of all entry VMs. A lower Revision never replaces a higher one.
