catalog, platform: the configuration that VMs keep and pass on has no keys

Cause: each VM keeps the stored configuration as it came and hands it to its peers, with all keys in clear.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -46,6 +46,12 @@
 	Entry(name string, value []byte) (Entry, error)
 }
 
+// KeyHider is a Decoder for configurations that contain secret keys.
+type KeyHider interface {
+	// HideKeys returns a configuration that can be decoded like the given one and contains no keys. It is kept and passed to peers.
+	HideKeys(value []byte) []byte
+}
+
 // Kinds names the kinds of objects in the store.
 type Kinds struct {
 	Configuration string
@@ -90,7 +96,7 @@
 
 	mu               sync.Mutex
 	table            *routes.Table
-	rawTable         []byte
+	rawTable         []byte // without keys if the decoder is a KeyHider
 	revision         uint64 // highest store revision in force on this VM
 	listedRevision   uint64 // store revision of the last list of upstreams, or of the events applied since
 	entries          map[string]*record
@@ -271,7 +277,11 @@
 	if c.table != nil {
 		old = c.table.Version
 	}
-	c.table, c.rawTable, c.tableGeneration = t, slices.Clone(value), c.generation
+	raw := value
+	if h, ok := c.opts.Decoder.(KeyHider); ok {
+		raw = h.HideKeys(value)
+	}
+	c.table, c.rawTable, c.tableGeneration = t, slices.Clone(raw), c.generation
 	tableVersion.Set(float64(t.Version))
 	c.opts.Log.Info("configuration in force", zap.Uint64("version", t.Version), zap.Uint64("before", old),
 		zap.Int("routes", len(t.Routes)), zap.Int("services", len(t.Services)), zap.String("from", from))
