--- a/forward/usage_test.go
+++ b/forward/usage_test.go
@@ -10,6 +10,7 @@
 
 	"bergamotcroft.example/bergamot/conns"
 	"bergamotcroft.example/bergamot/routes"
+	"bergamotcroft.example/bergamot/topo"
 )
 
 // Guards against a request that counts twice, counts though it was never sent, or does not count though it may have run.
@@ -40,7 +41,10 @@
 				is.Equal(account, c.account)
 				got = append(got, at)
 			}})
-			x := &exchange{f: f, route: &routes.Route{Kind: c.kind}, usageAccount: c.account}
+			x := &exchange{f: f, route: &routes.Route{Kind: c.kind}}
+			if c.account != "" {
+				x.account = &topo.Account{Caller: c.account}
+			}
 			for _, err := range c.errs {
 				x.countSend(sent, &Send{Stage: c.stage}, err)
 			}
