policy/scaling: scaling.demand decides on the number of servers

The plan follows the peak of the last wave divided by a target utilisation, with the cheapest servers that carry it also after one data centre has lost its preemptible ones.

--- /dev/null
+++ b/policy/scaling/place.go
@@ -0,0 +1,137 @@
+package scaling
+
+import (
+	"math"
+	"time"
+
+	"bergamotcroft.example/bergamot/policy"
+)
+
+// requirement is what the servers of all data centres together must come to.
+type requirement struct {
+	total     int
+	afterLoss int // without the preemptible servers of the data centre that has most of them
+}
+
+// lack returns how many servers c lacks; 0: it meets the requirement.
+func (r requirement) lack(c policy.ServerCounts) int {
+	sum, most := 0, 0
+	for i := range c {
+		sum += c[i][policy.OnDemand] + c[i][policy.Preemptible]
+		most = max(most, c[i][policy.Preemptible])
+	}
+	return max(r.total-sum, r.afterLoss-(sum-most), 0)
+}
+
+// cheapest returns the cheapest servers that meet the requirement. It tries each bound on the preemptible servers of a data
+// centre: with a low one a loss takes few away, with a high one fewer expensive ones are needed.
+func (p *Demand) cheapest(now time.Duration, s *policy.ScalingState, r requirement) policy.ServerCounts {
+	var best policy.ServerCounts
+	least, lack, limit, bestBound := math.Inf(1), math.MaxInt, math.Inf(1), 0
+	try := func(bound int) {
+		c, price := p.fill(now, s, r, bound, limit)
+		n := r.lack(c)
+		if n < lack || n == lack && price < least-1e-9 {
+			best, least, lack, bestBound = c, price, n, bound
+		}
+		if lack <= 0 {
+			limit = least
+		}
+	}
+	const stride = 4 // the price changes little from one bound to the next
+	highest := min(s.Max, max(r.total, r.afterLoss))
+	for bound := 0; bound <= highest; bound += stride {
+		try(bound)
+	}
+	for bound := max(bestBound-stride+1, 0); bound < min(bestBound+stride, highest+1); bound++ {
+		try(bound)
+	}
+	return best
+}
+
+// fill adds servers, the cheapest first, until the requirement is met, none are to be had or the price exceeds limit.
+func (p *Demand) fill(now time.Duration, s *policy.ScalingState, r requirement, bound int, limit float64) (c policy.ServerCounts, price float64) {
+	n := len(s.DataCentres)
+	c = make(policy.ServerCounts, n)
+	sum, most, mean := 0, 0, 0.0
+	for i := range c {
+		c[i][policy.OnDemand] = s.Min
+		sum += s.Min
+		price += float64(s.Min) * s.DataCentres[i].Kinds[policy.OnDemand].Price
+		mean += s.DataCentres[i].Kinds[policy.OnDemand].Price / float64(n)
+	}
+	even := (max(r.total, r.afterLoss+bound) + n - 1) / max(n, 1)
+	for (sum < r.total || sum-most < r.afterLoss) && price <= limit {
+		at, kind, least := -1, policy.OnDemand, math.Inf(1)
+		for i := range c {
+			if c[i][policy.OnDemand]+c[i][policy.Preemptible] >= s.Max {
+				continue
+			}
+			away := 0.0
+			if c[i][policy.OnDemand]+c[i][policy.Preemptible] >= even {
+				away = p.BalanceWeight * mean
+			}
+			for k := range policy.ServerKinds {
+				x := &s.DataCentres[i].Kinds[k]
+				if x.UnavailableUntil > now && c[i][k] >= x.Present() || k == policy.Preemptible && c[i][k] >= bound {
+					continue
+				}
+				if cost := x.Price + away; cost < least {
+					at, kind, least = i, k, cost
+				}
+			}
+		}
+		if at < 0 {
+			break
+		}
+		c[at][kind]++
+		sum++
+		most = max(most, c[at][policy.Preemptible])
+		price += least
+	}
+	return c, price
+}
+
+// inOrder returns the next counts on the way to the target: additions at once, and removals, the most expensive first, only as far
+// as the requirement is met by servers that serve already.
+func inOrder(s *policy.ScalingState, target policy.ServerCounts, r requirement) policy.ServerCounts {
+	out := present(s)
+	serving := make(policy.ServerCounts, len(out))
+	for i := range out {
+		for k := range out[i] {
+			serving[i][k] = s.DataCentres[i].Kinds[k].Serving
+			room := s.Max - out[i][policy.OnDemand] - out[i][policy.Preemptible]
+			if add := min(target[i][k]-out[i][k], room); add > 0 {
+				out[i][k] += add
+			}
+		}
+	}
+	for {
+		at, kind, most := -1, policy.OnDemand, math.Inf(-1)
+		for i := range out {
+			for k := range policy.ServerKinds {
+				x := &s.DataCentres[i].Kinds[k]
+				if out[i][k] <= target[i][k] || x.Price <= most {
+					continue
+				}
+				// A server that has not started yet is not needed to meet the requirement.
+				if serving[i][k] > 0 && serving[i][k] >= out[i][k] {
+					serving[i][k]--
+					ok := r.lack(serving) == 0
+					serving[i][k]++
+					if !ok {
+						continue
+					}
+				}
+				at, kind, most = i, k, x.Price
+			}
+		}
+		if at < 0 {
+			return out
+		}
+		if serving[at][kind] >= out[at][kind] {
+			serving[at][kind]--
+		}
+		out[at][kind]--
+	}
+}
