scaling: a duty orders servers as scaling.demand decides

Cause: the platform lets the system order the servers of a service, and nothing did. It runs only where the settings name the duty and a service has scaling.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,7 +96,9 @@
 	if err := e.listen(o.Metrics); err != nil {
 		return nil, err
 	}
-	e.buildRoles()
+	if err := e.buildRoles(); err != nil {
+		return nil, err
+	}
 	e.addRemainingActors()
 	return e, nil
 }
--- a/edge/roles.go
+++ b/edge/roles.go
@@ -23,8 +23,8 @@
 	leaseCandidates = 2
 )
 
-// buildRoles creates the lease and the controller of the engines' roles.
-func (e *Edge) buildRoles() {
+// buildRoles creates the lease, and the controllers of the engines' roles and of the number of servers.
+func (e *Edge) buildRoles() error {
 	clock := store.BootClock{}
 	leases := lease.New(lease.Options{
 		Store: e.objects, Members: e.list, Name: e.settings.VM, Incarnation: e.boot, Groups: 1, Term: max(leaseTerm, 3*e.settings.Bounds.Lease),
@@ -37,6 +37,7 @@
 	})
 	e.addActor("lease", leases.Run)
 	e.addActor("roles", control.Run)
+	return e.buildScaling(leases, roleGroup, e.settings.Bounds.Lease+handOverMargin)
 }
 
 // engines returns the engines with their load, or nil if the gateway has stopped.
--- /dev/null
+++ b/edge/scaling.go
@@ -0,0 +1,211 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/catalog"
+	"bergamotcroft.example/bergamot/kernel"
+	"bergamotcroft.example/bergamot/lease"
+	"bergamotcroft.example/bergamot/platform"
+	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/routes"
+	"bergamotcroft.example/bergamot/scaling"
+	"bergamotcroft.example/bergamot/scheduler"
+	"bergamotcroft.example/bergamot/store"
+	"bergamotcroft.example/bergamot/topo"
+
+	_ "bergamotcroft.example/bergamot/policy/scaling" // registers itself
+)
+
+// buildScaling creates the controller of the number of servers, if the settings ask for it.
+func (e *Edge) buildScaling(leases lease.Authority, group int, handOverPause time.Duration) error {
+	if !e.settings.Duties.Scale || e.settings.Duties.Address == "" {
+		return nil
+	}
+	const scaler = "scaling.demand"
+	if _, err := kernel.Load[policy.Scaler](scaler, nil); err != nil {
+		return trace.Wrap(err)
+	}
+	client := platform.DutyClient{Pool: e.pool, Address: e.settings.Duties.Address, Holder: e.settings.VM}
+	control := scaling.New(scaling.Options{
+		Lease: leases, Group: group, Holder: e.settings.VM, Store: e.objects, Observe: e.scaledServices, HandOverPause: handOverPause,
+		NewScaler: func() policy.Scaler {
+			s, err := kernel.Load[policy.Scaler](scaler, nil)
+			if err != nil {
+				e.log.Error("scaler", zap.Error(err)) // it was loaded before
+			}
+			return s
+		},
+		Send: func(ctx context.Context, t lease.Token, o scaling.Order) error {
+			return orderError(client.OrderServers(ctx, t, o.Service, o.DataCentre, o.Desired, o.Kind == policy.Preemptible))
+		},
+		Clock: store.BootClock{}, Log: e.log,
+	})
+	e.addActor("capacity orders", control.Run)
+	return nil
+}
+
+func orderError(err error) error {
+	switch {
+	case errors.Is(err, platform.ErrNoServers):
+		return trace.Wrap(scaling.ErrNoServers)
+	case errors.Is(err, platform.ErrDutyRateLimited):
+		return trace.Wrap(scaling.ErrRateLimited)
+	case errors.Is(err, platform.ErrDutyRejected):
+		return trace.Wrap(scaling.ErrRejected, "%v", err)
+	}
+	return err
+}
+
+// scaledServices returns the services whose servers are ordered, or nil if their servers are not known now.
+func (e *Edge) scaledServices() []scaling.Service {
+	s := e.catalog.State()
+	if s.Table == nil || !e.configurationConfirmed() {
+		return nil
+	}
+	fleet := map[string]upstreamLoad{}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := e.gateway.Do(ctx, func(now time.Duration, sched *scheduler.Scheduler) {
+		for _, u := range sched.Fleet().Upstreams {
+			fleet[u.Spec.Name] = upstreamLoad{
+				accepting: u.Accepting, role: u.Role, running: float64(u.OwnRunning + u.OtherRunning()), prompt: u.OwnPrefill + u.OtherPrefill(),
+			}
+		}
+	})
+	if err != nil {
+		return nil // the gateway has stopped
+	}
+	return servicesToScale(&s, fleet)
+}
+
+// upstreamLoad is the load of an upstream by all entry VMs.
+type upstreamLoad struct {
+	accepting bool
+	role      topo.Role
+	running   float64 // requests that run or wait
+	prompt    float64 // prompt tokens that wait or are being computed
+}
+
+// servicesToScale returns the scaled services with their registered servers and their demand.
+func servicesToScale(s *catalog.State, fleet map[string]upstreamLoad) []scaling.Service {
+	var out []scaling.Service
+	for name, service := range s.Table.Services {
+		if service.Scaling == nil {
+			continue
+		}
+		out = append(out, scaledService(s, name, service, fleet))
+	}
+	slices.SortFunc(out, func(a, b scaling.Service) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func scaledService(s *catalog.State, name string, service *routes.Service, fleet map[string]upstreamLoad) scaling.Service {
+	c := service.Scaling
+	out := scaling.Service{Name: name, Min: c.Min, Max: c.Max, Startup: c.Startup}
+	byName := map[string]int{}
+	add := func(dataCentre string) int {
+		i, ok := byName[dataCentre]
+		if !ok {
+			i = len(out.DataCentres)
+			byName[dataCentre] = i
+			d := scaling.DataCentre{Name: dataCentre}
+			d.Kinds[policy.OnDemand].Price, d.Kinds[policy.Preemptible].Price = c.Price(dataCentre, false), c.Price(dataCentre, true)
+			out.DataCentres = append(out.DataCentres, d)
+		}
+		return i
+	}
+	for dataCentre := range c.Prices { // servers may be ordered also where none are
+		add(dataCentre)
+	}
+	var d demand
+	for i := range s.Entries {
+		x := &s.Entries[i]
+		if x.Service != name {
+			continue
+		}
+		kind := policy.OnDemand
+		if x.Preemptible {
+			kind = policy.Preemptible
+		}
+		r := &out.DataCentres[add(x.DataCentre)].Kinds[kind]
+		switch {
+		case !x.Leaving:
+			r.Serving++
+		case x.Preemptible && x.LeavesIn > 0:
+			r.Reclaimed++
+			fallthrough
+		default:
+			r.Leaving++
+		}
+		d.add(service, x, fleet[upstreamName(x)])
+	}
+	slices.SortFunc(out.DataCentres, func(a, b scaling.DataCentre) int { return cmp.Compare(a.Name, b.Name) })
+	out.Demand = d.servers()
+	return out
+}
+
+// promptWait is the wait for a prompt engine up to which its work counts as one engine's. Callers expect the first event
+// within 300 ms, of which a long prompt computes for up to 0.2 s.
+const promptWait = 0.15 // seconds
+
+// promptTokensPerS is assumed of an engine's prompts. It is only used for the work that waits at an engine.
+const promptTokensPerS = 60000.0
+
+// maxServerDemand bounds the demand at one server, whose queue may also be long since it is slow.
+const maxServerDemand = 3.0
+
+// demand sums the work at the servers of a service, as the number of servers that it keeps fully busy.
+type demand struct {
+	prompt, generating, both    float64 // work
+	prompts, generators, others int     // servers
+}
+
+func (d *demand) add(service *routes.Service, x *catalog.Entry, l upstreamLoad) {
+	if l.role == "" { // the scheduler does not know it yet
+		l.role = x.Role
+	}
+	prompt := 0.0
+	if l.prompt > 0 {
+		prompt = min(max(l.prompt/promptTokensPerS/promptWait, 1), maxServerDemand)
+	}
+	// A step with few streams takes at least half of the time of a full one, so that the throughput with a share u of the slots
+	// is 2u/(1+u) of the highest one.
+	u := l.running / float64(max(x.Slots, 1))
+	generating := min(max(2*u/(1+u), u), maxServerDemand)
+	n := 1
+	if x.Leaving {
+		n = 0 // its work goes elsewhere soon
+	}
+	switch {
+	case service.Engine == nil:
+		d.both, d.others = d.both+min(u, maxServerDemand), d.others+n
+	case l.role == topo.RolePrefill:
+		d.prompt, d.prompts = d.prompt+prompt, d.prompts+n
+	case l.role == topo.RoleDecode:
+		d.generating, d.generators = d.generating+generating, d.generators+n
+	default:
+		d.both, d.others = d.both+max(prompt, generating), d.others+n
+	}
+}
+
+// servers returns the demand in servers of all roles. The split between the roles is maintained for any number of servers, so
+// that the role that is busier determines the need.
+func (d *demand) servers() float64 {
+	split := float64(d.prompts + d.generators)
+	busiest := 0.0
+	if d.prompts > 0 {
+		busiest = d.prompt / float64(d.prompts)
+	}
+	if d.generators > 0 {
+		busiest = max(busiest, d.generating/float64(d.generators))
+	}
+	return busiest*split + d.both
+}
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -62,8 +62,29 @@
 type Service struct {
 	Name           string
 	HealthPath     string
-	MaxConnections int     // connections that one upstream accepts from all entry VMs together
-	Engine         *Engine // nil for services without model servers
+	MaxConnections int      // connections that one upstream accepts from all entry VMs together
+	Engine         *Engine  // nil for services without model servers
+	Scaling        *Scaling // nil: the number of servers is fixed
+}
+
+// Scaling states within which limits and at which prices the servers of a service are ordered.
+type Scaling struct {
+	Min, Max         int                // servers in each data centre, both kinds together
+	Startup          time.Duration      // from an order until the servers serve
+	PreemptiblePrice float64            // of a preemptible server, relative to one that is not
+	Prices           map[string]float64 // of a server-second, by data centre
+}
+
+// Price returns the price of a server-second in a data centre, which is 1 where none is stated.
+func (s *Scaling) Price(dataCentre string, preemptible bool) float64 {
+	price, ok := s.Prices[dataCentre]
+	if !ok {
+		price = 1
+	}
+	if preemptible {
+		price *= s.PreemptiblePrice
+	}
+	return price
 }
 
 // Engine describes the engines of a service, which are alike.
--- /dev/null
+++ b/scaling/plan.go
@@ -0,0 +1,124 @@
+package scaling
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/policy"
+)
+
+// serviceState is what the controller keeps of a service under one lease.
+type serviceState struct {
+	scaler    policy.Scaler
+	demand    []policy.DemandSample
+	plannedAt time.Time
+	servers   string // that the last plan was made for
+	plan      policy.ScalingPlan
+	logged    string
+}
+
+// sample records the demand, and where the platform takes servers away.
+func (c *Controller) sample(now time.Time, x *Service) {
+	s := c.services[x.Name]
+	if s == nil {
+		s = &serviceState{scaler: c.opts.NewScaler()}
+		c.services[x.Name] = s
+	}
+	at := c.at(now)
+	s.demand = append(s.demand, policy.DemandSample{At: at, Servers: x.Demand})
+	drop := 0
+	for drop < len(s.demand) && s.demand[drop].At < at-demandHistory {
+		drop++
+	}
+	s.demand = s.demand[drop:]
+	for i := range x.DataCentres {
+		d := &x.DataCentres[i]
+		for kind := range d.Kinds {
+			k := &c.subject(x.Name, d.Name).kinds[kind]
+			if n := d.Kinds[kind].Reclaimed; n > k.reclaimed {
+				k.unavailable = now.Add(reclaimPause)
+				k.orderedAt = time.Time{} // what was ordered there does not start any more
+				s.plannedAt = time.Time{}
+				c.opts.Log.Warn("servers are taken away", zap.String("service", x.Name), zap.String("data_centre", d.Name),
+					zap.String("kind", policy.ServerKind(kind).String()), zap.Int("leaving", n), zap.Int("serving", d.Kinds[kind].Serving))
+				reclaimedServers(x.Name, d.Name).Add(n - k.reclaimed)
+			}
+			k.reclaimed = d.Kinds[kind].Reclaimed
+		}
+	}
+}
+
+// at returns the time as policies use it.
+func (c *Controller) at(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(c.since) + time.Second // not 0
+}
+
+// starting returns the servers that were ordered and have not registered yet.
+func (k *kindState) starting(now time.Time, serving int, startup time.Duration) int {
+	if !k.known || now.Sub(k.orderedAt) >= startup+startMargin {
+		return 0
+	}
+	return max(k.ordered-serving, 0)
+}
+
+// plan returns the orders that lead to the scaler's decision, additions first.
+func (c *Controller) plan(now time.Time, x *Service) []Order {
+	s := c.services[x.Name]
+	state := policy.ScalingState{Min: x.Min, Max: x.Max, Startup: x.Startup, Demand: s.demand, Total: c.totals[x.Name]}
+	key := make([]byte, 0, 64)
+	serving := 0
+	for i := range x.DataCentres {
+		d := &x.DataCentres[i]
+		at := policy.ServersAt{DataCentre: d.Name}
+		for kind := range at.Kinds {
+			r, k := &d.Kinds[kind], &c.subject(x.Name, d.Name).kinds[kind]
+			at.Kinds[kind] = policy.Servers{
+				Serving: r.Serving, Starting: k.starting(now, r.Serving, x.Startup), Leaving: r.Leaving, Price: r.Price, UnavailableUntil: c.at(k.unavailable),
+			}
+			serving += r.Serving
+			key = append(key, byte(r.Serving), byte(r.Leaving), byte(at.Kinds[kind].Starting), ' ')
+		}
+		state.DataCentres = append(state.DataCentres, at)
+	}
+	if serving == 0 {
+		return nil // the catalog is empty, or nothing is left to serve with; no figure follows from that
+	}
+	if now.Sub(s.plannedAt) >= planInterval || string(key) != s.servers {
+		s.plannedAt, s.servers = now, string(key)
+		s.plan = s.scaler.Plan(c.at(now), &state)
+		c.logPlan(x, s, &state)
+	}
+	var add, remove []Order
+	for i := range state.DataCentres {
+		d := &state.DataCentres[i]
+		for kind, desired := range s.plan.Desired[i] {
+			o := Order{x.Name, d.DataCentre, policy.ServerKind(kind), desired}
+			serves, k := d.Kinds[kind].Serving, c.kind(o)
+			switch {
+			case !k.known && desired == serves:
+			case desired > serves && now.Before(k.unavailable):
+			case k.known && k.ordered == desired && (desired <= serves || d.Kinds[kind].Starting > 0):
+				// A figure that has not been reached is ordered again only when the servers should have started.
+			case desired > serves:
+				add = append(add, o)
+			default:
+				remove = append(remove, o)
+			}
+		}
+	}
+	return append(add, remove...)
+}
+
+func (c *Controller) logPlan(x *Service, s *serviceState, state *policy.ScalingState) {
+	text := describe(state, s.plan.Desired)
+	if text == s.logged {
+		return
+	}
+	s.logged = text
+	c.opts.Log.Info("capacity plan", zap.String("service", x.Name), zap.String("reason", s.plan.Reason), zap.Float64("demand", x.Demand),
+		zap.Float64("need", s.plan.Need), zap.Int("total", s.plan.Total), zap.String("servers", text))
+}
--- /dev/null
+++ b/scaling/scaling.go
@@ -0,0 +1,238 @@
+// Package scaling orders the servers of the services that the platform lets the system scale.
+//
+// Invariants: an order is sent only under a lease that is valid for longer than the send may take; a new figure is in the store
+// before it is sent first; an order whose answer was lost is repeated with the same figure before any other order for the same
+// service and data centre.
+package scaling
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/duty"
+	"bergamotcroft.example/bergamot/lease"
+	"bergamotcroft.example/bergamot/policy"
+	"bergamotcroft.example/bergamot/store"
+)
+
+// Errors of Options.Send. After any other error the order may have been carried out, or still be.
+var (
+	ErrNoServers   = errors.New("no servers of this kind are available there now")
+	ErrRateLimited = errors.New("the platform takes no more orders now") // the order had no effect
+	ErrRejected    = errors.New("the platform has rejected the order")
+)
+
+// Service is a scaled service as this entry VM sees it now.
+type Service struct {
+	Name        string
+	Min, Max    int // servers in each data centre, both kinds together
+	Startup     time.Duration
+	DataCentres []DataCentre // in the order of their names
+	// Demand is the work now, as the number of servers of mean speed that it keeps fully busy.
+	Demand float64
+}
+
+// DataCentre holds the registered servers of a service in one data centre.
+type DataCentre struct {
+	Name  string
+	Kinds [policy.ServerKinds]Registered
+}
+
+// Registered are the registered servers of one kind.
+type Registered struct {
+	Serving, Leaving int
+	Reclaimed        int // part of Leaving that the platform takes away
+	Price            float64
+}
+
+// Order asks the platform for a number of servers.
+type Order struct {
+	Service    string            `json:"service"`
+	DataCentre string            `json:"data_centre"`
+	Kind       policy.ServerKind `json:"kind"`
+	Desired    int               `json:"desired"`
+}
+
+// State is the stored state of the duty.
+type State struct {
+	Orders []Order        `json:"orders"` // the last one of each service, data centre and kind
+	Totals map[string]int `json:"totals"` // of the last plan, by service
+}
+
+// Options configures a Controller. All but Log and Clock are required.
+type Options struct {
+	Lease   lease.Authority
+	Group   int
+	Holder  string // name of this entry VM
+	Store   store.Store
+	Observe func() []Service // nil result: the servers are not known now
+	// NewScaler returns the scaler of one service.
+	NewScaler func() policy.Scaler
+	Send      func(ctx context.Context, t lease.Token, o Order) error
+	// HandOverPause is the time from taking over the lease to the first order.
+	HandOverPause time.Duration
+	Clock         store.Clock
+	Log           *zap.Logger
+}
+
+const (
+	recordName     = "capacity-orders"
+	sampleInterval = 100 * time.Millisecond
+	// planInterval is above the time in which the smoothed demand changes; changes of the servers are answered at once.
+	planInterval = 500 * time.Millisecond
+	sendTimeout  = 800 * time.Millisecond
+	storeTimeout = 1500 * time.Millisecond
+	// demandHistory covers two waves of 13 s and a start-up time.
+	demandHistory = 32 * time.Second
+	// ordersPerS bounds the orders of all services, far below the platform's 50 calls a second of all duties.
+	ordersPerS = 5.0
+	orderBurst = 12.0 // both kinds of a service in three data centres, repeated by a new holder and ordered anew
+	// startMargin is the time beyond the start-up time after which ordered servers that have not registered are not counted on.
+	startMargin = 3 * time.Second
+	// reclaimPause is the time for which no more preemptible servers are had where some were taken away: 8 to 11 s. An order that is
+	// too early gets ErrNoServers.
+	reclaimPause = 8500 * time.Millisecond
+	// noServersPause is the time until the next order after ErrNoServers.
+	noServersPause = 2 * time.Second
+	rejectedPause  = 10 * time.Second
+	minBackoff     = 200 * time.Millisecond
+	maxBackoff     = 3 * time.Second
+	// settleTime is the time from the first look at the servers to the first order, in which the catalog may still be filled.
+	settleTime = 2 * time.Second
+)
+
+// Controller orders servers while this entry VM holds the lease.
+type Controller struct {
+	opts     Options
+	record   duty.Record[State]
+	fencing  uint64 // of the lease for which the state below was built
+	since    time.Time
+	loaded   bool
+	services map[string]*serviceState
+	subjects map[subject]*subjectState
+	tokens   float64 // orders that may be sent now
+	filledAt time.Time
+	failures int // consecutive batches with unanswered or limited orders
+	resumeAt time.Time
+	loadAt   time.Time // next attempt to load or write the record
+	totals   map[string]int
+}
+
+// subject is what one unanswered order holds back.
+type subject struct{ service, dataCentre string }
+
+// subjectState is the state of the orders of one subject.
+type subjectState struct {
+	kinds [policy.ServerKinds]kindState
+	// repeat holds the orders that may have been carried out or not, in the order in which they are sent again.
+	repeat []Order
+}
+
+type kindState struct {
+	recorded    int       // figure in the record
+	isRecorded  bool      // the record has a figure
+	ordered     int       // last figure that was accepted, or that may have been carried out
+	known       bool      // there is such a figure
+	orderedAt   time.Time // when it was sent last
+	unavailable time.Time // until then no more are to be had
+	reclaimed   int       // servers that the platform took away, at the last look
+}
+
+// New returns a Controller.
+func New(o Options) *Controller {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.Clock == nil {
+		o.Clock = store.BootClock{}
+	}
+	return &Controller{opts: o, record: duty.Record[State]{Store: o.Store, Name: recordName, Writer: o.Holder}}
+}
+
+// Run orders servers until ctx ends.
+func (c *Controller) Run(ctx context.Context) error { return duty.Run(ctx, c.duty(), c.Step) }
+
+func (c *Controller) duty() duty.Options {
+	return duty.Options{
+		Lease: c.opts.Lease, Group: c.opts.Group, Margin: storeTimeout + 2*sendTimeout, HandOverPause: c.opts.HandOverPause, Interval: sampleInterval,
+		Clock: c.opts.Clock,
+	}
+}
+
+// Step samples the demand and sends the orders that are due. It must only be called while the lease is held.
+func (c *Controller) Step(ctx context.Context, t lease.Token) {
+	now := c.opts.Clock.Now()
+	if t.Fencing != c.fencing || c.services == nil {
+		c.reset(t.Fencing, now)
+	}
+	list := c.opts.Observe()
+	for i := range list {
+		c.sample(now, &list[i])
+	}
+	if len(list) == 0 || !c.load(ctx, now) || now.Sub(c.since) < settleTime {
+		return
+	}
+	var due []Order
+	for i := range list {
+		due = append(due, c.plan(now, &list[i])...)
+	}
+	c.send(ctx, now, list, due)
+	c.updateMetrics(list)
+}
+
+// reset forgets what an earlier holder, or this one under an earlier lease, has seen.
+func (c *Controller) reset(fencing uint64, now time.Time) {
+	c.fencing, c.since, c.loaded = fencing, now, false
+	c.services, c.subjects, c.totals = map[string]*serviceState{}, map[subject]*subjectState{}, map[string]int{}
+	c.tokens, c.filledAt, c.failures, c.resumeAt, c.loadAt = orderBurst, now, 0, time.Time{}, time.Time{}
+}
+
+func (c *Controller) subject(service, dataCentre string) *subjectState {
+	k := subject{service, dataCentre}
+	s := c.subjects[k]
+	if s == nil {
+		s = &subjectState{}
+		c.subjects[k] = s
+	}
+	return s
+}
+
+func (c *Controller) kind(o Order) *kindState {
+	return &c.subject(o.Service, o.DataCentre).kinds[o.Kind]
+}
+
+// load reads the record once under each lease. The last orders of the record may not have been answered.
+func (c *Controller) load(ctx context.Context, now time.Time) bool {
+	if c.loaded {
+		return true
+	}
+	if now.Before(c.loadAt) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	v, err := c.record.Load(ctx, c.fencing)
+	if err != nil {
+		c.loadAt = now.Add(maxBackoff)
+		c.opts.Log.Warn("capacity orders not read", zap.Error(err))
+		return false
+	}
+	for _, o := range v.Orders {
+		if o.Kind < 0 || o.Kind >= policy.ServerKinds {
+			continue
+		}
+		s := c.subject(o.Service, o.DataCentre)
+		k := &s.kinds[o.Kind]
+		k.recorded, k.isRecorded, k.ordered, k.known, k.orderedAt = o.Desired, true, o.Desired, true, now
+		s.repeat = append(s.repeat, o)
+	}
+	for name, n := range v.Totals {
+		c.totals[name] = n
+	}
+	c.loaded = true
+	c.opts.Log.Info("capacity orders taken over", zap.Uint64("fencing", c.fencing), zap.Int("orders", len(v.Orders)))
+	return true
+}
