policy/scaling: fewer orders; forecast only beyond the range of the last wave

Change: the level rises with 3 % to spare, removals wait until nearly all servers have started, and only a demand that is 16 % above the wave before is continued.

--- a/policy/scaling/demand.go
+++ b/policy/scaling/demand.go
@@ -23,8 +23,11 @@
 	WaveMS          int     `json:"wave_ms"`   // duration of a wave of demand
 	SmoothMS        int     `json:"smooth_ms"` // over which samples are averaged; single ones show one prompt more or less
 	DeadBand        float64 `json:"dead_band"` // by which the demand must fall before the plan follows
-	DownStep        float64 `json:"down_step"` // by which the plan falls at most, each start-up time
-	MaxAhead        float64 `json:"max_ahead"` // bound on the forecast over a start-up time, relative to the demand now
+	// UpStep is added to a demand above the highest one, so that a wave that rises little by little does not cause an order at
+	// each look.
+	UpStep   float64 `json:"up_step"`
+	DownStep float64 `json:"down_step"` // by which the plan falls at most, each start-up time
+	MaxAhead float64 `json:"max_ahead"` // bound on the forecast over a start-up time, relative to the demand now
 	// BalanceWeight is the price of a server beyond a data centre's even share, relative to a server of mean price that is not
 	// preemptible. Callers are spread evenly, so that such a server's work comes from other data centres.
 	BalanceWeight float64 `json:"balance_weight"`
@@ -33,23 +36,23 @@
 	planned     bool          // found is known
 	firstDemand time.Duration // time of the first sample above 0; 0: none yet
 	level       float64       // demand that the plan carries
-	lastDown    time.Duration
+	lastChange  time.Duration // last change of level
 }
 
 // ModuleInfo implements kernel.Module.
 func (*Demand) ModuleInfo() kernel.Info {
 	return kernel.Info{ID: "scaling.demand", New: func() kernel.Module {
 		return &Demand{
-			Utilisation: 0.75, LossUtilisation: 0.95, WaveMS: 13000, SmoothMS: 1000, DeadBand: 0.08, DownStep: 0.2, MaxAhead: 1.25, BalanceWeight: 0.15,
+			Utilisation: 0.75, LossUtilisation: 0.95, WaveMS: 13000, SmoothMS: 1000, DeadBand: 0.08, UpStep: 0.03, DownStep: 0.2, MaxAhead: 1.25, BalanceWeight: 0.15,
 		}
 	}}
 }
 
 // Validate implements kernel.Validator.
 func (p *Demand) Validate() error {
-	if p.Utilisation <= 0 || p.Utilisation > 1 || p.LossUtilisation < p.Utilisation || p.WaveMS <= 0 || p.SmoothMS <= 0 || p.DeadBand < 0 || p.DeadBand >= 1 ||
-		p.DownStep <= 0 || p.DownStep > 1 || p.MaxAhead < 1 || p.BalanceWeight < 0 {
-		return errors.New("utilisation, loss_utilisation, wave_ms, smooth_ms, dead_band, down_step, max_ahead or balance_weight is out of range")
+	if p.Utilisation <= 0 || p.Utilisation > 1 || p.LossUtilisation < p.Utilisation || p.WaveMS <= 0 || p.SmoothMS <= 0 || p.DeadBand <= 0 || p.DeadBand >= 1 ||
+		p.DownStep <= 0 || p.DownStep > 1 || p.UpStep < 0 || p.UpStep >= p.DeadBand || p.MaxAhead < 1 || p.BalanceWeight < 0 {
+		return errors.New("utilisation, loss_utilisation, wave_ms, smooth_ms, dead_band, up_step, down_step, max_ahead or balance_weight is out of range")
 	}
 	return nil
 }
@@ -99,14 +102,14 @@
 			peak = max(peak, m.Servers)
 		}
 	}
-	if up := max(peak, p.ahead(now, means, s.Startup, peak)); up > p.level {
-		p.level = up
-		p.lastDown = now
+	if up := max(peak, p.ahead(now, means, s.Startup)); up > p.level {
+		p.level = (1 + p.UpStep) * up
+		p.lastChange = now
 	}
 	settled := p.firstDemand > 0 && now-p.firstDemand >= wave+s.Startup
-	if settled && held < (1-p.DeadBand)*p.level && now-p.lastDown >= s.Startup {
-		p.level = max(held, (1-p.DownStep)*p.level)
-		p.lastDown = now
+	if settled && held < (1-p.DeadBand)*p.level && now-p.lastChange >= s.Startup {
+		p.level = max((1+p.UpStep)*held, (1-p.DownStep)*p.level)
+		p.lastChange = now
 	}
 	return settled
 }
@@ -127,9 +130,10 @@
 	return out
 }
 
-// ahead returns the demand that is expected after a start-up time. The ramp of a wave whose peak is known changes nothing: only a
-// demand that is about to exceed the peak of the wave before is continued.
-func (p *Demand) ahead(now time.Duration, means []policy.DemandSample, startup time.Duration, peak float64) float64 {
+// ahead returns the demand that is expected after a start-up time, or 0. Only a demand that has left the range of the wave before is
+// continued: near its peak, a wave still rises fast enough to forecast a quarter more than it reaches. A burst of one class of
+// three adds a quarter and more.
+func (p *Demand) ahead(now time.Duration, means []policy.DemandSample, startup time.Duration) float64 {
 	if len(means) == 0 || startup <= 0 {
 		return 0
 	}
@@ -144,7 +148,7 @@
 			before = max(before, means[i].Servers)
 		}
 	}
-	if last.Servers < (1-p.DeadBand)*peak || last.Servers < before || last.At <= earlier.At {
+	if last.Servers < (1+2*p.DeadBand)*before || last.At <= earlier.At {
 		return 0
 	}
 	slope := (last.Servers - earlier.Servers) / (last.At - earlier.At).Seconds()
--- a/policy/scaling/place.go
+++ b/policy/scaling/place.go
@@ -92,46 +92,46 @@
 	return c, price
 }
 
+// maxStartingShare is the share of the servers that may still start while others are taken away.
+const maxStartingShare = 0.05
+
 // inOrder returns the next counts on the way to the target: additions at once, and removals, the most expensive first, only as far
-// as the requirement is met by servers that serve already.
+// as the requirement is met by servers that serve already. Removals wait until nearly all have started, so that one order takes away
+// what many registrations replace; a single server that never starts does not hold them back.
 func inOrder(s *policy.ScalingState, target policy.ServerCounts, r requirement) policy.ServerCounts {
 	out := present(s)
 	serving := make(policy.ServerCounts, len(out))
+	starting := 0
 	for i := range out {
 		for k := range out[i] {
 			serving[i][k] = s.DataCentres[i].Kinds[k].Serving
 			room := s.Max - out[i][policy.OnDemand] - out[i][policy.Preemptible]
-			if add := min(target[i][k]-out[i][k], room); add > 0 {
-				out[i][k] += add
-			}
+			out[i][k] += max(min(target[i][k]-out[i][k], room), 0)
+			starting += out[i][k] - serving[i][k]
 		}
 	}
+	if float64(starting) > maxStartingShare*float64(sum(out)) {
+		return out
+	}
 	for {
 		at, kind, most := -1, policy.OnDemand, math.Inf(-1)
 		for i := range out {
 			for k := range policy.ServerKinds {
-				x := &s.DataCentres[i].Kinds[k]
-				if out[i][k] <= target[i][k] || x.Price <= most {
+				price := s.DataCentres[i].Kinds[k].Price
+				if out[i][k] <= target[i][k] || serving[i][k] == 0 || price <= most {
 					continue
 				}
-				// A server that has not started yet is not needed to meet the requirement.
-				if serving[i][k] > 0 && serving[i][k] >= out[i][k] {
-					serving[i][k]--
-					ok := r.lack(serving) == 0
-					serving[i][k]++
-					if !ok {
-						continue
-					}
+				serving[i][k]--
+				if r.lack(serving) == 0 {
+					at, kind, most = i, k, price
 				}
-				at, kind, most = i, k, x.Price
+				serving[i][k]++
 			}
 		}
 		if at < 0 {
 			return out
 		}
-		if serving[at][kind] >= out[at][kind] {
-			serving[at][kind]--
-		}
+		serving[at][kind]--
 		out[at][kind]--
 	}
 }
--- a/policy/scaling/scaling_test.go
+++ b/policy/scaling/scaling_test.go
@@ -258,3 +258,25 @@
 		is.Equal(c.state.DataCentres[i].Kinds[policy.OnDemand].Serving, 1)
 	}
 }
+
+// Guards against orders that follow each wave, or the noise of the samples: each one takes servers away that the next wave needs.
+func TestSteadyWavesDoNotOscillate(t *testing.T) {
+	for seed := range uint64(6) {
+		r := rand.New(rand.NewPCG(seed, 7))
+		d := day{}
+		for i := range 1200 {
+			x := 60 * (1 + 0.27*math.Sin(2*math.Pi*float64(i)/110)) * (1 + 0.1*r.NormFloat64())
+			d.demand = append(d.demand, max(x, 0))
+		}
+		last, fell := 0, false
+		play(newDemand(t), d, func(now time.Duration, _ *policy.ScalingState, plan policy.ScalingPlan) {
+			if now > 70*time.Second { // the first waves are known
+				fell = fell || plan.Total < last
+				if fell && plan.Total > last {
+					t.Fatalf("seed %d: from %d to %d servers at %v after a fall", seed, last, plan.Total, now)
+				}
+			}
+			last = plan.Total
+		})
+	}
+}
