roles: split roles within the groups of engines that leave together

Cause: the engines whose role changes were chosen by load and name. In an idle set of 140 with names in order of data centre, the 78 that compute prompts came from two data centres, so that the loss of one takes most of them. Change: engines of scaled services have a group, their data centre and kind; each change takes the group with the largest share. Services without scaling have one group and the same choice as before.

--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -86,6 +86,18 @@
 	return servicesToScale(&s, fleet)
 }
 
+// reclaimGroup returns the group of servers that the platform may take away together, or "" if the number of the service's servers
+// is fixed.
+func reclaimGroup(s *catalog.State, x *catalog.Entry) string {
+	switch {
+	case s.Table.Services[x.Service].Scaling == nil:
+		return ""
+	case x.Preemptible:
+		return x.DataCentre + " " + policy.Preemptible.String()
+	}
+	return x.DataCentre
+}
+
 // upstreamLoad is the load of an upstream by all entry VMs.
 type upstreamLoad struct {
 	accepting bool
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -30,8 +30,11 @@
 	Instance string
 	Role     topo.Role
 	Leaving  bool
-	Limited  bool    // counts among its set, but gets no order
-	Load     float64 // open requests of all entry VMs
+	Limited  bool // counts among its set, but gets no order
+	// Group names engines of a set that may leave together, such as those that the platform takes away at once. The roles are split
+	// within each group, so that a loss of one leaves the split of the others.
+	Group string
+	Load  float64 // open requests of all entry VMs
 }
 
 // Order asks an engine to take a role.
@@ -227,13 +230,40 @@
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b Engine) int { return cmp.Compare(a.Load, b.Load) })
-	candidates = candidates[:min(n, max(len(candidates)-1, 0))]
+	candidates = pickByGroup(list, candidates, from, min(n, max(len(candidates)-1, 0)))
 	for i := range candidates {
 		candidates[i].Role = to
 	}
 	return candidates
 }
 
+// pickByGroup returns n candidates, each from the group in which the role from has the largest share of engines.
+func pickByGroup(list, candidates []Engine, from topo.Role, n int) []Engine {
+	size, have := map[string]float64{}, map[string]float64{}
+	for i := range list {
+		size[list[i].Group]++
+		if list[i].Role == from {
+			have[list[i].Group]++
+		}
+	}
+	if len(size) == 1 {
+		return candidates[:n]
+	}
+	var out []Engine
+	for range n {
+		best := 0
+		for i := range candidates {
+			if g, b := candidates[i].Group, candidates[best].Group; have[g]/size[g] > have[b]/size[b] {
+				best = i
+			}
+		}
+		have[candidates[best].Group]--
+		out = append(out, candidates[best])
+		candidates = slices.Delete(candidates, best, best+1)
+	}
+	return out
+}
+
 // sendOrder sends one order and reports whether the lease still holds.
 func (c *Controller) sendOrder(ctx context.Context, e Engine) bool {
 	token, err := c.opts.Lease.Check(c.opts.Group, 3*sendTimeout)
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -165,3 +165,22 @@
 	}
 	is.Equal(len(Plan([]Engine{{Role: topo.RoleDecode}, {Role: topo.RoleDecode}}, 0.5, false)), 0) // too few to split
 }
+
+// Guards against a loss of one data centre's engines that takes all engines of one role away.
+func TestRolesAreSplitWithinGroups(t *testing.T) {
+	is := is.New(t)
+	var list []Engine
+	for i := range 140 {
+		list = append(list, Engine{Name: fmt.Sprintf("e%03d", i), Role: topo.RoleDecode, Group: fmt.Sprint("dc", i/47)})
+	}
+	prompts := map[string]int{}
+	orders := Plan(list, DefaultPromptShare, false)
+	for _, e := range orders {
+		prompts[e.Group]++
+	}
+	is.Equal(len(orders), 78)
+	for _, n := range prompts {
+		is.Equal(n, 26)
+	}
+	is.Equal(len(Plan(list, DefaultPromptShare, true)), 1) // busy
+}
