scaling, roles: new engines take their roles before old ones are taken away

Cause: servers ordered together register in one role. In a set with load the role controller changes one engine each 4 s, 78 changes would take five minutes, while their predecessors were taken away at the registration. Change: in sets whose number of servers is ordered, all engines that joined within 2 s get their orders at once. An engine counts as starting until a role change and a second have passed. Result: 78 orders within a second to 140 engines that join a busy set of 9, none to the nine (test); go test -race ./roles ./edge ./scaling passes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -64,6 +64,7 @@
 	versions          *versions.Keeper
 	servers           []*server
 	group             run.Group
+	arrivals          arrivals          // used by the actor of capacity orders only
 	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
 	leaving           atomic.Bool
 	stop              chan time.Time // gets the earliest time at which the stop may have been asked for
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -73,7 +73,7 @@
 	fleet := map[string]upstreamLoad{}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	err := e.gateway.Do(ctx, func(now time.Duration, sched *scheduler.Scheduler) {
+	err := e.gateway.Do(ctx, func(_ time.Duration, sched *scheduler.Scheduler) {
 		for _, u := range sched.Fleet().Upstreams {
 			fleet[u.Spec.Name] = upstreamLoad{
 				accepting: u.Accepting, role: u.Role, running: float64(u.OwnRunning + u.OtherRunning()), prompt: u.OwnPrefill + u.OtherPrefill(),
@@ -83,7 +83,36 @@
 	if err != nil {
 		return nil // the gateway has stopped
 	}
-	return servicesToScale(&s, fleet)
+	e.arrivals.note(time.Now(), &s)
+	return servicesToScale(&s, fleet, &e.arrivals)
+}
+
+// arrivals holds when upstreams were first seen by the controller of the number of servers. Its zero value is ready to use.
+type arrivals struct {
+	now  time.Time
+	seen map[string]time.Time // by upstream name; zero for those that were there at the first look
+}
+
+func (a *arrivals) note(now time.Time, s *catalog.State) {
+	seen := make(map[string]time.Time, len(s.Entries))
+	for i := range s.Entries {
+		name := upstreamName(&s.Entries[i])
+		at, ok := a.seen[name]
+		if !ok && a.seen != nil {
+			at = now
+		}
+		seen[name] = at
+	}
+	a.now, a.seen = now, seen
+}
+
+// roleOrderTime is how long it takes after a registration until a new engine has got its first order.
+const roleOrderTime = time.Second
+
+// settling reports whether a new engine may still be taking its role. Old servers are not taken away for it before.
+func (a *arrivals) settling(service *routes.Service, x *catalog.Entry) bool {
+	at := a.seen[upstreamName(x)]
+	return !at.IsZero() && service.Engine != nil && service.Engine.MovesBetweenRoles && a.now.Sub(at) < service.Engine.RoleChange+roleOrderTime
 }
 
 // reclaimGroup returns the group of servers that the platform may take away together, or "" if the number of the service's servers
@@ -107,19 +136,19 @@
 }
 
 // servicesToScale returns the scaled services with their registered servers and their demand.
-func servicesToScale(s *catalog.State, fleet map[string]upstreamLoad) []scaling.Service {
+func servicesToScale(s *catalog.State, fleet map[string]upstreamLoad, a *arrivals) []scaling.Service {
 	var out []scaling.Service
 	for name, service := range s.Table.Services {
 		if service.Scaling == nil {
 			continue
 		}
-		out = append(out, scaledService(s, name, service, fleet))
+		out = append(out, scaledService(s, name, service, fleet, a))
 	}
 	slices.SortFunc(out, func(a, b scaling.Service) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
-func scaledService(s *catalog.State, name string, service *routes.Service, fleet map[string]upstreamLoad) scaling.Service {
+func scaledService(s *catalog.State, name string, service *routes.Service, fleet map[string]upstreamLoad, a *arrivals) scaling.Service {
 	c := service.Scaling
 	out := scaling.Service{Name: name, Min: c.Min, Max: c.Max, Startup: c.Startup}
 	byName := map[string]int{}
@@ -149,6 +178,8 @@
 		}
 		r := &out.DataCentres[add(x.DataCentre)].Kinds[kind]
 		switch {
+		case !x.Leaving && a.settling(service, x):
+			r.Settling++
 		case !x.Leaving:
 			r.Serving++
 		case x.Preemptible && x.LeavesIn > 0:
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -96,6 +96,9 @@
 	// busyChangeInterval is the least time between two changes of a set that has work, since each change takes an engine out of
 	// service for seconds.
 	busyChangeInterval = 4 * time.Second
+	// newEngineTime is how long an engine that has joined a busy set may be changed beside others. Registrations of servers that were
+	// ordered together arrive within a heartbeat or two.
+	newEngineTime = 2 * time.Second
 )
 
 var (
@@ -116,6 +119,8 @@
 	members     string
 	stableSince time.Time // when the members last changed
 	lastOrder   time.Time // when the last order was sent
+	// firstSeen holds when the engines joined the set; zero for those that were there at the first look.
+	firstSeen map[string]time.Time
 }
 
 // New returns a Controller.
@@ -165,6 +170,7 @@
 		s = &setState{}
 		c.sets[name] = s
 	}
+	s.noteMembers(now, list)
 	members := ""
 	load := 0.0
 	for i := range list {
@@ -174,6 +180,9 @@
 	if members != s.members {
 		s.members, s.stableSince = members, now
 	}
+	if load > 0 && !c.splitNew(ctx, now, s, list) {
+		return
+	}
 	if now.Sub(s.stableSince) < settleTime || load > 0 && now.Sub(s.lastOrder) < busyChangeInterval {
 		return
 	}
@@ -186,6 +195,36 @@
 	}
 }
 
+// noteMembers records when engines joined the set.
+func (s *setState) noteMembers(now time.Time, list []Engine) {
+	seen := make(map[string]time.Time, len(list))
+	for i := range list {
+		at, ok := s.firstSeen[list[i].Name]
+		if !ok && s.firstSeen != nil {
+			at = now
+		}
+		seen[list[i].Name] = at
+	}
+	s.firstSeen = seen
+}
+
+// splitNew sends orders to all engines that have just joined a busy set and need one, since what they do was done without them
+// before. Only engines in groups count as new; others return after a restart. It reports whether the lease still holds.
+func (c *Controller) splitNew(ctx context.Context, now time.Time, s *setState, list []Engine) bool {
+	isNew := func(e *Engine) bool {
+		return e.Group != "" && !s.firstSeen[e.Name].IsZero() && now.Sub(s.firstSeen[e.Name]) < newEngineTime
+	}
+	if !slices.ContainsFunc(list, func(e Engine) bool { return isNew(&e) }) {
+		return true
+	}
+	for _, e := range plan(c.withPendingRoles(now, list), c.opts.PromptShare, len(list), isNew) {
+		if !c.sendOrder(ctx, e) {
+			return false
+		}
+	}
+	return true
+}
+
 // withPendingRoles returns the list with the ordered role for each engine with a pending order, and drops orders that are
 // carried out or expired.
 func (c *Controller) withPendingRoles(now time.Time, list []Engine) []Engine {
@@ -206,6 +245,15 @@
 // Plan returns the engines whose role should change, with their new role. A busy set changes one engine at a time, the one with
 // the least load.
 func Plan(list []Engine, share float64, busy bool) []Engine {
+	most := len(list)
+	if busy {
+		most = 1
+	}
+	return plan(list, share, most, func(*Engine) bool { return true })
+}
+
+// plan returns at most the given number of engines whose role should change, out of those that may.
+func plan(list []Engine, share float64, most int, may func(*Engine) bool) []Engine {
 	if len(list) < minSetSize {
 		return nil
 	}
@@ -220,12 +268,10 @@
 	if n < 0 {
 		from, to, n = topo.RolePrefill, topo.RoleDecode, -n
 	}
-	if busy {
-		n = min(n, 1)
-	}
+	n = min(n, most)
 	var candidates []Engine
 	for i := range list {
-		if list[i].Role == from && !list[i].Limited {
+		if list[i].Role == from && !list[i].Limited && may(&list[i]) {
 			candidates = append(candidates, list[i])
 		}
 	}
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -184,3 +184,24 @@
 	}
 	is.Equal(len(Plan(list, DefaultPromptShare, true)), 1) // busy
 }
+
+// Guards against servers that replace others of a busy set and stay in one role for minutes, and against a change of busy engines
+// for their sake.
+func TestNewEnginesOfABusySetAreSplitAtOnce(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(5, 4)
+	for i := range w.engines {
+		w.engines[i].Load, w.engines[i].Group = 3, "a"
+	}
+	w.runFor(time.Second)
+	for i := range 140 {
+		name := fmt.Sprintf("new%03d", i)
+		w.engines = append(w.engines, Engine{Name: name, Set: "s", Role: topo.RoleDecode, Group: "a preemptible"})
+		w.status[name] = Status{Role: topo.RoleDecode}
+	}
+	w.runFor(time.Second)
+	is.Equal(len(w.orders), 78) // 83 of 149
+	for _, o := range w.orders {
+		is.Equal(o[:3], "new")
+	}
+}
--- a/scaling/metrics.go
+++ b/scaling/metrics.go
@@ -28,13 +28,13 @@
 				r := &d.Kinds[kind]
 				o := Order{x.Name, d.Name, policy.ServerKind(kind), 0}
 				labels := fmt.Sprintf("{service=%q,data_centre=%q,kind=%q}", x.Name, d.Name, o.Kind)
-				metrics.GetOrCreateGauge("bergamot_capacity_serving"+labels, nil).Set(float64(r.Serving))
-				starting := c.kind(o).starting(c.opts.Clock.Now(), r.Serving, x.Startup)
+				metrics.GetOrCreateGauge("bergamot_capacity_serving"+labels, nil).Set(float64(r.Serving + r.Settling))
+				starting := c.kind(o).starting(c.opts.Clock.Now(), r.Serving+r.Settling, x.Startup)
 				metrics.GetOrCreateGauge("bergamot_capacity_starting"+labels, nil).Set(float64(starting))
 				if plan := c.services[x.Name].plan.Desired; j < len(plan) {
 					metrics.GetOrCreateGauge("bergamot_capacity_desired"+labels, nil).Set(float64(plan[j][kind]))
 				}
-				cost += r.Price * float64(r.Serving+r.Leaving+starting)
+				cost += r.Price * float64(r.Serving+r.Settling+r.Leaving+starting)
 			}
 		}
 		metrics.GetOrCreateGauge(fmt.Sprintf("bergamot_capacity_cost_rate{service=%q}", x.Name), nil).Set(cost)
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -58,11 +58,11 @@
 }
 
 // starting returns the servers that were ordered and have not registered yet.
-func (k *kindState) starting(now time.Time, serving int, startup time.Duration) int {
+func (k *kindState) starting(now time.Time, registered int, startup time.Duration) int {
 	if !k.known || now.Sub(k.orderedAt) >= startup+startMargin {
 		return 0
 	}
-	return max(k.ordered-serving, 0)
+	return max(k.ordered-registered, 0)
 }
 
 // plan returns the orders that lead to the scaler's decision, additions first.
@@ -77,10 +77,10 @@
 		for kind := range at.Kinds {
 			r, k := &d.Kinds[kind], &c.subject(x.Name, d.Name).kinds[kind]
 			at.Kinds[kind] = policy.Servers{
-				Serving: r.Serving, Starting: k.starting(now, r.Serving, x.Startup), Leaving: r.Leaving, Price: r.Price, UnavailableUntil: c.at(k.unavailable),
+				Serving: r.Serving, Starting: r.Settling + k.starting(now, r.Serving+r.Settling, x.Startup), Leaving: r.Leaving, Price: r.Price, UnavailableUntil: c.at(k.unavailable),
 			}
-			serving += r.Serving
-			key = append(key, byte(r.Serving), byte(r.Leaving), byte(at.Kinds[kind].Starting), ' ')
+			serving += r.Serving + r.Settling
+			key = append(key, byte(r.Serving), byte(r.Settling), byte(r.Leaving), byte(at.Kinds[kind].Starting), ' ')
 		}
 		state.DataCentres = append(state.DataCentres, at)
 	}
@@ -97,11 +97,11 @@
 		d := &state.DataCentres[i]
 		for kind, desired := range s.plan.Desired[i] {
 			o := Order{x.Name, d.DataCentre, policy.ServerKind(kind), desired}
-			serves, k := d.Kinds[kind].Serving, c.kind(o)
+			serves, k := d.Kinds[kind].Serving+x.DataCentres[i].Kinds[kind].Settling, c.kind(o)
 			switch {
 			case !k.known && desired == serves:
 			case desired > serves && now.Before(k.unavailable):
-			case k.known && k.ordered == desired && (desired <= serves || d.Kinds[kind].Starting > 0):
+			case k.known && k.ordered == desired && (desired <= serves || k.starting(now, serves, x.Startup) > 0):
 				// A figure that has not been reached is ordered again only when the servers should have started.
 			case desired > serves:
 				add = append(add, o)
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -44,6 +44,7 @@
 // Registered are the registered servers of one kind.
 type Registered struct {
 	Serving, Leaving int
+	Settling         int // registered, but not ready to replace others
 	Reclaimed        int // part of Leaving that the platform takes away
 	Price            float64
 }
