scaling: a reclaim is recognised by its first notices

Cause: servers report a reclaim with their own heartbeats, so that the plan would change at each one and use up the orders of a second. Servers that an order takes away may state a time too and would look reclaimed. After an answer with the sign of leaving, the stated time of an entry was ignored. Change: notices of an eighth of the servers mean all, for 3 s; as many servers as ordered mean none. No lower figure is sent for a data centre whose servers are unavailable. The record is loaded before the first look at the servers. Result: go test -race ./scaling ./edge ./catalog passes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -38,7 +38,7 @@
 	Models      []string
 	Version     string // of the upstream's software; empty: not stated, or unreadable
 	Preemptible bool   // the platform may take the upstream away at short notice
-	// LeavesIn is the time that remained when the upstream first reported that it is taken away; 0: not stated.
+	// LeavesIn is the time that remained when the upstream first stated it; 0: not stated.
 	LeavesIn time.Duration
 }
 
@@ -354,10 +354,10 @@
 	return e.ID + "@" + time.UnixMilli(e.StartTimeMS).UTC().Format(time.RFC3339Nano)
 }
 
-// sameEntry ignores LeavesIn, which differs in each heartbeat of an upstream that leaves.
+// sameEntry ignores the value of LeavesIn, which differs in each heartbeat of an upstream that is taken away.
 func sameEntry(a, b Entry) bool {
 	return a.StartTimeMS == b.StartTimeMS && a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre &&
-		a.Slots == b.Slots && a.Version == b.Version && a.Leaving == b.Leaving && a.Preemptible == b.Preemptible && a.Role == b.Role && slices.Equal(a.Models, b.Models)
+		a.Slots == b.Slots && a.Version == b.Version && a.Leaving == b.Leaving && a.LeavesIn > 0 == (b.LeavesIn > 0) && a.Preemptible == b.Preemptible && a.Role == b.Role && slices.Equal(a.Models, b.Models)
 }
 
 // drop removes an entry and reports whether it existed.
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -35,16 +35,24 @@
 	for i := range x.DataCentres {
 		d := &x.DataCentres[i]
 		for kind := range d.Kinds {
-			k := &c.subject(x.Name, d.Name).kinds[kind]
-			if n := d.Kinds[kind].Reclaimed; n > k.reclaimed {
-				k.unavailable = now.Add(reclaimPause)
+			r, k := &d.Kinds[kind], &c.subject(x.Name, d.Name).kinds[kind]
+			// Servers that an order takes away may state a time too; then at least as many as ordered remain.
+			ordered := k.known && r.Serving+r.Settling >= k.ordered
+			if n := r.Reclaimed; n > k.reclaimed && !ordered {
 				k.orderedAt = time.Time{} // what was ordered there does not start any more
+				k.unavailable = now.Add(reclaimPause)
+				if n*reclaimNotices >= n+r.Serving+r.Settling {
+					k.reclaimedUntil = now.Add(reclaimTime)
+				}
 				s.plannedAt = time.Time{}
 				c.opts.Log.Warn("servers are taken away", zap.String("service", x.Name), zap.String("data_centre", d.Name),
-					zap.String("kind", policy.ServerKind(kind).String()), zap.Int("leaving", n), zap.Int("serving", d.Kinds[kind].Serving))
+					zap.String("kind", policy.ServerKind(kind).String()), zap.Int("leaving", n), zap.Int("serving", r.Serving))
 				reclaimedServers(x.Name, d.Name).Add(n - k.reclaimed)
 			}
-			k.reclaimed = d.Kinds[kind].Reclaimed
+			k.reclaimed = r.Reclaimed
+			if now.Before(k.reclaimedUntil) { // the others report it with their next heartbeat
+				r.Leaving, r.Serving, r.Settling = r.Leaving+r.Serving+r.Settling, 0, 0
+			}
 		}
 	}
 }
@@ -100,7 +108,7 @@
 			serves, k := d.Kinds[kind].Serving+x.DataCentres[i].Kinds[kind].Settling, c.kind(o)
 			switch {
 			case !k.known && desired == serves:
-			case desired > serves && now.Before(k.unavailable):
+			case desired >= serves && now.Before(k.unavailable): // it keeps what is there
 			case k.known && k.ordered == desired && (desired <= serves || k.starting(now, serves, x.Startup) > 0):
 				// A figure that has not been reached is ordered again only when the servers should have started.
 			case desired > serves:
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -96,6 +96,10 @@
 	// reclaimPause is the time for which no more preemptible servers are had where some were taken away: 8 to 11 s. An order that is
 	// too early gets ErrNoServers.
 	reclaimPause = 8500 * time.Millisecond
+	// reclaimTime is the longest notice of a reclaim, 2.5 s, with a margin; reclaimNotices is the inverse of the share of servers that
+	// have reported it by which a reclaim of all is recognised. The platform takes all preemptible servers of a data centre.
+	reclaimTime    = 3 * time.Second
+	reclaimNotices = 8
 	// noServersPause is the time until the next order after ErrNoServers.
 	noServersPause = 2 * time.Second
 	rejectedPause  = 10 * time.Second
@@ -140,6 +144,8 @@
 	orderedAt   time.Time // when it was sent last
 	unavailable time.Time // until then no more are to be had
 	reclaimed   int       // servers that the platform took away, at the last look
+	// reclaimedUntil is the time until which all servers there count as leaving.
+	reclaimedUntil time.Time
 }
 
 // New returns a Controller.
@@ -170,10 +176,13 @@
 		c.reset(t.Fencing, now)
 	}
 	list := c.opts.Observe()
+	if len(list) == 0 || !c.load(ctx, now) {
+		return
+	}
 	for i := range list {
 		c.sample(now, &list[i])
 	}
-	if len(list) == 0 || !c.load(ctx, now) || now.Sub(c.since) < settleTime {
+	if now.Sub(c.since) < settleTime {
 		return
 	}
 	var due []Order
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -193,10 +193,13 @@
 	w := newFixture()
 	w.runFor(w.c, 3*time.Second)
 	plans := w.scaler.plans
-	w.service.DataCentres[0].Kinds[policy.Preemptible] = Registered{Leaving: 3, Reclaimed: 3}
+	w.service.DataCentres[0].Kinds[policy.Preemptible] = Registered{Serving: 9, Leaving: 3, Reclaimed: 3} // the first of 12
 	w.runFor(w.c, sampleInterval)
 	is.Equal(w.scaler.plans, plans+1)
-	is.True(w.scaler.state.DataCentres[0].Kinds[policy.Preemptible].UnavailableUntil > w.c.at(w.clock.now)+5*time.Second)
+	k := w.scaler.state.DataCentres[0].Kinds[policy.Preemptible]
+	is.True(k.UnavailableUntil > w.c.at(w.clock.now)+5*time.Second)
+	is.Equal([]int{k.Serving, k.Leaving}, []int{0, 12})
+	is.Equal(len(w.sent), 0) // for the data centre itself
 }
 
 // Guards against two figures of two holders for one subject: the successor repeats what its predecessor may have sent, and waits
