--- a/policy/scaling/place.go
+++ b/policy/scaling/place.go
@@ -118,8 +118,8 @@
 		for i := range out {
 			for k := range policy.ServerKinds {
 				price := s.DataCentres[i].Kinds[k].Price
-				if out[i][k] <= target[i][k] || serving[i][k] == 0 || price <= most {
-					continue
+				if out[i][k] <= target[i][k] || price <= most || serving[i][k] < out[i][k] {
+					continue // where some still start, the platform may take others that serve
 				}
 				serving[i][k]--
 				if r.lack(serving) == 0 {
