forward: the end of a server that is taken away is no crash

Cause: the platform ends all preemptible servers of a data centre at once. Each request and prompt part that ran there counted a crash, and after three of them it is refused as one that crashes its servers. Change: a break and an end of a process do not count from a second before the time that the server's entry states. Nothing changes for servers that are not preemptible.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -64,6 +64,7 @@
 	versions          *versions.Keeper
 	servers           []*server
 	group             run.Group
+	takenAway         takenAway
 	arrivals          arrivals          // used by the actor of capacity orders only
 	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
 	leaving           atomic.Bool
@@ -270,6 +271,7 @@
 			e.markLeaving(upstream, "upstream")
 			e.loads.QueueGone(upstream)
 		},
+		TakenAway: func(upstream string) bool { return e.takenAway.now(time.Now(), upstream) },
 	})
 	e.addActor("gateway", e.gateway.Run)
 	archive = quarantine.NewArchive(quarantine.ArchiveOptions{
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -127,6 +128,49 @@
 	return x.DataCentre
 }
 
+// takenAway holds the upstreams that the platform takes away, with the time from which it ends them. Its zero value is ready to use.
+type takenAway struct {
+	mu   sync.Mutex
+	from map[string]time.Time // by upstream name
+}
+
+const (
+	// takenAwayMargin covers the delay of an entry, by which the stated time seems to end later.
+	takenAwayMargin = time.Second
+	// takenAwayMemory is how long an end may be noticed after the stated time.
+	takenAwayMemory = 30 * time.Second
+)
+
+func (a *takenAway) note(now time.Time, s *catalog.State) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for name, at := range a.from {
+		if now.Sub(at) > takenAwayMemory {
+			delete(a.from, name)
+		}
+	}
+	for i := range s.Entries {
+		x := &s.Entries[i]
+		if !x.Preemptible || !x.Leaving || x.LeavesIn <= 0 {
+			continue
+		}
+		if a.from == nil {
+			a.from = map[string]time.Time{}
+		}
+		if name := upstreamName(x); a.from[name].IsZero() {
+			a.from[name] = now.Add(x.LeavesIn - takenAwayMargin)
+		}
+	}
+}
+
+// now reports whether the platform may have ended the upstream.
+func (a *takenAway) now(now time.Time, upstream string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	at, ok := a.from[upstream]
+	return ok && !now.Before(at)
+}
+
 // upstreamLoad is the load of an upstream by all entry VMs.
 type upstreamLoad struct {
 	accepting bool
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -43,6 +43,7 @@
 const sweepInterval = 2 * time.Second // idle connections expire after seconds
 
 func (e *Edge) applyState(ctx context.Context, s catalog.State) error {
+	e.takenAway.note(time.Now(), &s)
 	list := make([]topo.Upstream, 0, len(s.Entries))
 	current := map[string]string{}
 	addressesInUse := map[string]bool{}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -109,6 +109,9 @@
 		return "not sent"
 	case ctx.Err() != nil || errors.Is(e, os.ErrDeadlineExceeded) || errors.Is(e, syscall.ETIMEDOUT):
 		return r.abandon(ctx)
+	case f.opts.TakenAway(r.to.Name):
+		r.end()
+		return "upstream taken away"
 	}
 	r.ended = true
 	crashes, crashed := f.opts.Crashes.RunBroken(r.x.fingerprint, r.to.Name)
@@ -153,9 +156,12 @@
 		zap.Uint64("fingerprint", uint64(fp)), zap.Int("crashes", crashes))
 }
 
-// ProcessEnded records that an upstream's process has ended, so that runs that broke off there count as crashes. why is
-// logged.
+// ProcessEnded records that an upstream's process has ended, so that runs that broke off there count as crashes, unless
+// the platform has taken it away. why is logged.
 func (f *Front) ProcessEnded(upstream, why string) {
+	if f.opts.TakenAway(upstream) {
+		return
+	}
 	for fp, crashes := range f.opts.Crashes.ProcessEnded(upstream) {
 		f.recordCrash(fp, upstream, why, crashes)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -54,6 +54,8 @@
 	OnLimit func()
 	// OnLeaving is called when an upstream states that it takes no new work, or when another upstream has its address.
 	OnLeaving func(upstream string)
+	// TakenAway reports whether the platform ends an upstream's process about now, so that no request has crashed it; nil: never.
+	TakenAway func(upstream string) bool
 }
 
 // Front is the HTTP handler for callers.
@@ -91,6 +93,9 @@
 	if o.OnLeaving == nil {
 		o.OnLeaving = func(string) {}
 	}
+	if o.TakenAway == nil {
+		o.TakenAway = func(string) bool { return false }
+	}
 	f := &Front{opts: o, metrics: newMetricSet()}
 	f.waitingEnds, f.endWaiting = context.WithCancel(context.Background())
 	f.allEnd, f.endAll = context.WithCancel(context.Background())
