scaling: a gap in the demand's history makes it unknown

Cause: in an outage of the store the controller stopped to sample with the first failed write. The few samples after it looked like a low peak, and the plan would fall. Change: the record is read again by the next write, sampling goes on, and after 5 s without a sample the service begins with unknown demand. Without a scaled service nothing is read from the scheduler. Result: go test -race ./scaling ./edge passes.

--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -68,7 +68,7 @@
 // scaledServices returns the services whose servers are ordered, or nil if their servers are not known now.
 func (e *Edge) scaledServices() []scaling.Service {
 	s := e.catalog.State()
-	if s.Table == nil || !e.configurationConfirmed() {
+	if s.Table == nil || !e.configurationConfirmed() || !hasScaling(s.Table) {
 		return nil
 	}
 	fleet := map[string]upstreamLoad{}
@@ -88,6 +88,15 @@
 	return servicesToScale(&s, fleet, &e.arrivals)
 }
 
+func hasScaling(t *routes.Table) bool {
+	for _, s := range t.Services {
+		if s.Scaling != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // arrivals holds when upstreams were first seen by the controller of the number of servers. Its zero value is ready to use.
 type arrivals struct {
 	now  time.Time
--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -26,6 +26,9 @@
 		c.services[x.Name] = s
 	}
 	at := c.at(now)
+	if n := len(s.demand); n > 0 && at-s.demand[n-1].At > maxSampleGap {
+		s.demand, s.scaler = nil, c.opts.NewScaler() // a peak may have been missed
+	}
 	s.demand = append(s.demand, policy.DemandSample{At: at, Servers: x.Demand})
 	drop := 0
 	for drop < len(s.demand) && s.demand[drop].At < at-demandHistory {
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -93,6 +93,8 @@
 	orderBurst = 12.0 // both kinds of a service in three data centres, repeated by a new holder and ordered anew
 	// startMargin is the time beyond the start-up time after which ordered servers that have not registered are not counted on.
 	startMargin = 3 * time.Second
+	// maxSampleGap is the longest time without a sample after which the demand counts as known; a step may take 3 s.
+	maxSampleGap = 5 * time.Second
 	// reclaimPause is the time for which no more preemptible servers are had where some were taken away: 8 to 11 s. An order that is
 	// too early gets ErrNoServers.
 	reclaimPause = 8500 * time.Millisecond
@@ -111,19 +113,20 @@
 
 // Controller orders servers while this entry VM holds the lease.
 type Controller struct {
-	opts     Options
-	record   duty.Record[State]
-	fencing  uint64 // of the lease for which the state below was built
-	since    time.Time
-	loaded   bool
-	services map[string]*serviceState
-	subjects map[subject]*subjectState
-	tokens   float64 // orders that may be sent now
-	filledAt time.Time
-	failures int // consecutive batches with unanswered or limited orders
-	resumeAt time.Time
-	loadAt   time.Time // next attempt to load or write the record
-	totals   map[string]int
+	opts      Options
+	record    duty.Record[State]
+	fencing   uint64 // of the lease for which the state below was built
+	since     time.Time
+	loaded    bool // the record is up to date; false after a failed write
+	takenOver bool // the record has been read under this lease
+	services  map[string]*serviceState
+	subjects  map[subject]*subjectState
+	tokens    float64 // orders that may be sent now
+	filledAt  time.Time
+	failures  int // consecutive batches with unanswered or limited orders
+	resumeAt  time.Time
+	loadAt    time.Time // next attempt to load or write the record
+	totals    map[string]int
 }
 
 // subject is what one unanswered order holds back.
@@ -176,7 +179,7 @@
 		c.reset(t.Fencing, now)
 	}
 	list := c.opts.Observe()
-	if len(list) == 0 || !c.load(ctx, now) {
+	if len(list) == 0 || !c.takenOver && !c.load(ctx, now) {
 		return
 	}
 	for i := range list {
@@ -195,7 +198,7 @@
 
 // reset forgets what an earlier holder, or this one under an earlier lease, has seen.
 func (c *Controller) reset(fencing uint64, now time.Time) {
-	c.fencing, c.since, c.loaded = fencing, now, false
+	c.fencing, c.since, c.loaded, c.takenOver = fencing, now, false, false
 	c.services, c.subjects, c.totals = map[string]*serviceState{}, map[subject]*subjectState{}, map[string]int{}
 	c.tokens, c.filledAt, c.failures, c.resumeAt, c.loadAt = orderBurst, now, 0, time.Time{}, time.Time{}
 }
@@ -214,7 +217,8 @@
 	return &c.subject(o.Service, o.DataCentre).kinds[o.Kind]
 }
 
-// load reads the record once under each lease. The last orders of the record may not have been answered.
+// load reads the record under each lease, and again after a failed write. The last orders of an earlier holder may not have been
+// answered.
 func (c *Controller) load(ctx context.Context, now time.Time) bool {
 	if c.loaded {
 		return true
@@ -236,13 +240,18 @@
 		}
 		s := c.subject(o.Service, o.DataCentre)
 		k := &s.kinds[o.Kind]
-		k.recorded, k.isRecorded, k.ordered, k.known, k.orderedAt = o.Desired, true, o.Desired, true, now
-		s.repeat = append(s.repeat, o)
+		k.recorded, k.isRecorded = o.Desired, true
+		if !c.takenOver {
+			k.ordered, k.known, k.orderedAt = o.Desired, true, now
+			s.repeat = append(s.repeat, o)
+		}
 	}
 	for name, n := range v.Totals {
 		c.totals[name] = n
 	}
-	c.loaded = true
-	c.opts.Log.Info("capacity orders taken over", zap.Uint64("fencing", c.fencing), zap.Int("orders", len(v.Orders)))
+	if !c.takenOver {
+		c.opts.Log.Info("capacity orders taken over", zap.Uint64("fencing", c.fencing), zap.Int("orders", len(v.Orders)))
+	}
+	c.loaded, c.takenOver = true, true
 	return true
 }
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -81,7 +81,9 @@
 	lease   *fakeLease
 	store   *oneObject
 	scaler  *fakeScaler
+	scalers int // made
 	service Service
+	unknown bool             // the servers are not known
 	answers map[string]error // by order
 	mu      sync.Mutex       // guards sent
 	sent    []string
@@ -108,8 +110,13 @@
 func (w *fixture) controller() *Controller {
 	return New(Options{
 		Lease: w.lease, Holder: "vm", Store: w.store, Clock: w.clock, HandOverPause: 4 * time.Second,
-		Observe:   func() []Service { return []Service{w.service} },
-		NewScaler: func() policy.Scaler { return w.scaler },
+		Observe: func() []Service {
+			if w.unknown {
+				return nil
+			}
+			return []Service{w.service}
+		},
+		NewScaler: func() policy.Scaler { w.scalers++; return w.scaler },
 		Send: func(_ context.Context, _ lease.Token, o Order) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -235,6 +242,25 @@
 	is.Equal(len(w.sent), 0)
 }
 
+// Guards against a fall of the capacity after a time in which no demand was seen. An outage of the store hides none.
+func TestTheDemandIsUnknownAfterAGap(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.runFor(w.c, 3*time.Second)
+	w.store.err = store.ErrUnavailable
+	w.scaler.desired = policy.ServerCounts{{5, 4}, {5, 0}}
+	w.runFor(w.c, 8*time.Second)
+	is.Equal(w.scalers, 1)
+	is.Equal(len(w.scaler.state.Demand) > 100, true)
+	w.unknown = true
+	w.runFor(w.c, 6*time.Second)
+	w.unknown, w.store.err = false, nil
+	w.runFor(w.c, time.Second)
+	is.Equal(w.scalers, 2)
+	is.True(len(w.scaler.state.Demand) <= 10)
+	is.Equal(w.sent, []string{"a/preemptible=4"})
+}
+
 // Guards against more orders than the platform takes, together with other duties.
 func TestOrdersAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -65,7 +65,7 @@
 	if !slices.ContainsFunc(due, func(o Order) bool { k := c.kind(o); return !k.isRecorded || k.recorded != o.Desired }) {
 		return true
 	}
-	if now.Before(c.loadAt) {
+	if !c.load(ctx, now) {
 		return false
 	}
 	next := State{Totals: maps.Clone(c.totals)}
