scaling: the plan is made again when servers are available again

Cause: in a trial with a whole entry VM, the plan of before was used when the pause after a reclaim ended, and an order of 0 went ahead of the one that orders the servers again. Change: the end of the pause asks for a new plan. Result: go test -race ./scaling ./edge passes.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -91,6 +91,9 @@
 				Serving: r.Serving, Starting: r.Settling + k.starting(now, r.Serving+r.Settling, x.Startup), Leaving: r.Leaving, Price: r.Price, UnavailableUntil: c.at(k.unavailable),
 			}
 			serving += r.Serving + r.Settling
+			if now.Before(k.unavailable) {
+				key = append(key, '!') // its end changes the plan
+			}
 			key = append(key, byte(r.Serving), byte(r.Settling), byte(r.Leaving), byte(at.Kinds[kind].Starting), ' ')
 		}
 		state.DataCentres = append(state.DataCentres, at)
