--- a/edge/duties.go
+++ b/edge/duties.go
@@ -46,7 +46,7 @@
 }
 
 // buildDuties creates the lease and the duties that run under it.
-func (e *Edge) buildDuties() {
+func (e *Edge) buildDuties() error {
 	e.duties.lease = lease.New(lease.Options{
 		Store: e.objects, Members: e.list, Name: e.settings.VM, Incarnation: e.boot, Groups: 1, Term: max(leaseTerm, 3*e.settings.Bounds.Lease),
 		Candidates: leaseCandidates, Era: e.objects.Era, Clock: store.BootClock{}, Logger: e.log,
@@ -54,6 +54,7 @@
 	e.addActor("lease", e.duties.lease.Run)
 	e.buildRoles()
 	e.buildReporter()
+	return e.buildScaling()
 }
 
 // handOverPause is the time from taking over the lease to the first step of a duty.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -72,6 +72,8 @@
 	servers           []*server
 	group             run.Group
 	objective         bool
+	takenAway         takenAway
+	arrivals          arrivals          // used by the actor of capacity orders only
 	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
 	leaving           atomic.Bool
 	stop              chan time.Time // gets the earliest time at which the stop may have been asked for
@@ -108,7 +110,9 @@
 	if err := e.listen(o.Metrics); err != nil {
 		return nil, err
 	}
-	e.buildDuties()
+	if err := e.buildDuties(); err != nil {
+		return nil, err
+	}
 	e.addRemainingActors()
 	return e, nil
 }
@@ -279,6 +283,7 @@
 			e.markLeaving(upstream, "upstream")
 			e.loads.QueueGone(upstream)
 		},
+		TakenAway: func(upstream string) bool { return e.takenAway.now(time.Now(), upstream) },
 	})
 	e.addActor("gateway", e.gateway.Run)
 	archive = quarantine.NewArchive(quarantine.ArchiveOptions{
