--- a/edge/duties.go
+++ b/edge/duties.go
@@ -236,4 +236,7 @@
 }
 
 // hasAccounts reports whether the configuration in force has accounts.
-func (e *Edge) hasAccounts() bool { return e.accounts != nil && e.accounts() }
+func (e *Edge) hasAccounts() bool {
+	t := e.catalog.Table()
+	return t != nil && t.Accounts != nil
+}
--- a/edge/duties_test.go
+++ b/edge/duties_test.go
@@ -39,7 +39,10 @@
 func TestUsageOfAVMThatStopsIsReported(t *testing.T) {
 	is := is.New(t)
 	store := standin.NewStore()
-	is.NoErr(store.Put("config", "main", standin.Config(1, "h", "app", time.Second)))
+	var configuration map[string]any
+	is.NoErr(json.Unmarshal(standin.Config(1, "h", "app", time.Second), &configuration))
+	configuration["tenants"] = []any{map[string]any{"name": "a", "api_keys": []string{"k"}}, map[string]any{"name": "b"}}
+	is.NoErr(store.Put("config", "main", configuration))
 	storeServer := httptest.NewServer(store)
 	defer storeServer.Close()
 	api := standin.NewDuties(300 * time.Millisecond)
@@ -71,7 +74,6 @@
 		is.NoErr(err)
 		e, err := New(Options{Settings: settings, Log: zap.NewNop()})
 		is.NoErr(err)
-		e.accounts = func() bool { return true }
 		done := make(chan error, 1)
 		edges[name], ended[name] = e, done
 		go func() { done <- e.Run() }()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -68,7 +68,6 @@
 	startedAt         time.Time
 	versions          *versions.Keeper
 	duties            duties
-	accounts          func() bool // the configuration has accounts; nil: it never has
 	servers           []*server
 	group             run.Group
 	objective         bool
