scaling: the first plan waits for the registrations; no room for a second loss

Cause: a fleet that starts registers over 4 s, and the first plan took 9 of 27 servers for all. After a reclaim the room for the loss of a second data centre was bought with on-demand servers. Change: scaling.demand plans once the number of servers has not changed for 2 s; while preemptible servers can't be had somewhere it asks for the total only.

--- a/policy/scaling/demand.go
+++ b/policy/scaling/demand.go
@@ -20,9 +20,10 @@
 	Utilisation float64 `json:"utilisation"`
 	// LossUtilisation is the same after the loss of a data centre's preemptible servers, until their replacements serve.
 	LossUtilisation float64 `json:"loss_utilisation"`
-	WaveMS          int     `json:"wave_ms"`   // duration of a wave of demand
-	SmoothMS        int     `json:"smooth_ms"` // over which samples are averaged; single ones show one prompt more or less
-	DeadBand        float64 `json:"dead_band"` // by which the demand must fall before the plan follows
+	RegisterMS      int     `json:"register_ms"` // time without a registration after which all servers of the start count as registered
+	WaveMS          int     `json:"wave_ms"`     // duration of a wave of demand
+	SmoothMS        int     `json:"smooth_ms"`   // over which samples are averaged; single ones show one prompt more or less
+	DeadBand        float64 `json:"dead_band"`   // by which the demand must fall before the plan follows
 	// UpStep is added to a demand above the highest one, so that a wave that rises little by little does not cause an order at
 	// each look.
 	UpStep   float64 `json:"up_step"`
@@ -32,8 +33,9 @@
 	// preemptible. Callers are spread evenly, so that such a server's work comes from other data centres.
 	BalanceWeight float64 `json:"balance_weight"`
 
-	found       int           // servers at the first plan
-	planned     bool          // found is known
+	found       int           // servers at the start
+	foundAt     time.Duration // last change of found
+	planned     bool          // found is final
 	firstDemand time.Duration // time of the first sample above 0; 0: none yet
 	level       float64       // demand that the plan carries
 	lastChange  time.Duration // last change of level
@@ -43,7 +45,7 @@
 func (*Demand) ModuleInfo() kernel.Info {
 	return kernel.Info{ID: "scaling.demand", New: func() kernel.Module {
 		return &Demand{
-			Utilisation: 0.75, LossUtilisation: 0.95, WaveMS: 13000, SmoothMS: 1000, DeadBand: 0.08, UpStep: 0.03, DownStep: 0.2, MaxAhead: 1.25, BalanceWeight: 0.15,
+			Utilisation: 0.75, LossUtilisation: 0.95, RegisterMS: 2000, WaveMS: 13000, SmoothMS: 1000, DeadBand: 0.08, UpStep: 0.03, DownStep: 0.2, MaxAhead: 1.25, BalanceWeight: 0.15,
 		}
 	}}
 }
@@ -59,23 +61,51 @@
 
 // Plan implements policy.Scaler.
 func (p *Demand) Plan(now time.Duration, s *policy.ScalingState) policy.ScalingPlan {
+	settled := p.follow(now, s)
 	if !p.planned {
-		p.planned, p.found = true, sum(present(s))
-		if s.Total > 0 {
-			p.found = min(p.found, s.Total)
+		p.planned = p.countFound(now, s)
+		if !p.planned {
+			return policy.ScalingPlan{Desired: present(s), Total: p.found, Need: p.level, Reason: "servers are registering"}
 		}
 	}
-	settled := p.follow(now, s)
 	r := requirement{total: int(math.Ceil(p.level / p.Utilisation)), afterLoss: int(math.Ceil(p.level / p.LossUtilisation))}
 	reason := "demand"
 	if !settled {
 		r.total = max(r.total, p.found)
 		reason = "demand not known yet"
 	}
+	if reclaimed(now, s) {
+		r.afterLoss = 0
+	}
 	target := p.cheapest(now, s, r)
 	return policy.ScalingPlan{Desired: inOrder(s, target, r), Total: sum(target), Need: p.level, Reason: reason}
 }
 
+// countFound counts the servers that are there at the start, and reports whether all have registered: their number has not changed
+// for RegisterMS. The registrations of a fleet that starts arrive over some seconds. A later holder knows its predecessor's total.
+func (p *Demand) countFound(now time.Duration, s *policy.ScalingState) bool {
+	n := sum(present(s))
+	if s.Total > 0 {
+		p.found = min(n, s.Total)
+		return true
+	}
+	if n != p.found {
+		p.found, p.foundAt = n, now
+	}
+	return now-p.foundAt >= time.Duration(p.RegisterMS)*time.Millisecond
+}
+
+// reclaimed reports whether preemptible servers can't be had somewhere, as after a loss. Until they are back, room for a second loss
+// would be bought with on-demand servers at several times the price.
+func reclaimed(now time.Duration, s *policy.ScalingState) bool {
+	for i := range s.DataCentres {
+		if s.DataCentres[i].Kinds[policy.Preemptible].UnavailableUntil > now {
+			return true
+		}
+	}
+	return false
+}
+
 func sum(c policy.ServerCounts) int {
 	n := 0
 	for i := range c {
