--- a/cmd/bergamotd/stop_test.go
+++ b/cmd/bergamotd/stop_test.go
@@ -39,6 +39,14 @@
 // startEdge starts an entry VM with one upstream of the service "app", whose runs go to observe, and returns its process and its
 // address for callers once it serves.
 func startEdge(t *testing.T, observe func(standin.Run)) (*exec.Cmd, string) {
+	t.Helper()
+	cmd, ip := startEdgeWithin(t, exec.Command(os.Args[0]), 256, 1000, observe)
+	return cmd, net.JoinHostPort(ip, "9000")
+}
+
+// startEdgeWithin starts cmd as an entry VM with limits and returns it and its IP address once it serves. It listens for callers at
+// port 9000, for the readiness check at 9001, for peers at 9002 and for the directory at 9003.
+func startEdgeWithin(t *testing.T, cmd *exec.Cmd, memoryMB, maxFDs int, observe func(standin.Run)) (*exec.Cmd, string) {
 	t.Helper()
 	is := is.New(t)
 	store := standin.NewStore()
@@ -55,7 +63,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"node": "vm", "ip": ip, "zone": "z", "port_range": []int{9010, 9030},
 		"listen":       map[string]string{"front": at(9000), "ready": at(9001), "control": at(9002), "directory": at(9003)},
-		"limits":       map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": 256, "max_fds": 1000},
+		"limits":       map[string]any{"cpu_share": 1, "cores": 1, "memory_mb": memoryMB, "max_fds": maxFDs},
 		"heartbeat_ms": 60000,
 		"bounds": map[string]any{"drain_ms": 2000, "config_ms": 2000, "grace_s": testGrace.Seconds(), "budget_ratio": 0.2, "budget_slack": 60,
 			"budget_window_s": 10, "ttl_max_s": 5, "lease_ms": 3000},
@@ -64,7 +72,6 @@
 	is.NoErr(err)
 	file := filepath.Join(t.TempDir(), "settings.json")
 	is.NoErr(os.WriteFile(file, settings, 0o600))
-	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), edgeVariable+"=1", platform.SettingsVariable+"="+file)
 	cmd.Stdout = t.Output()
 	is.NoErr(cmd.Start())
@@ -77,7 +84,7 @@
 			o := c.Do(standin.Attempt{ID: fmt.Sprint("first-", n), Host: "h", Path: "/once/x", Deadline: time.Second})
 			_ = c.Close()
 			if o.Status == http.StatusOK {
-				return cmd, at(9000)
+				return cmd, ip
 			}
 		}
 		time.Sleep(10 * time.Millisecond)
