gateway: the loop forgets a request whose answer is complete

Cause: loop.inFlight loses its entry for a request that is refused or abandoned, but not for one that completes, so a process keeps each completed request with its header, body and ring until it ends.

Change: finished removes the entry of a completed request.

--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -171,6 +171,9 @@
 func (l *loop) finished(now time.Duration, e event) {
 	f := e.request
 	if f.current == e.attempt && f.current != 0 {
+		if e.outcome == policy.Completed {
+			delete(l.inFlight, f.req.ID)
+		}
 		f.current = 0
 		l.deliverAll(l.sched.Finished(now, &f.req, e.outcome))
 		return
