ingress: bound what clients hold before a request is admitted

Cause: net/http bounds the bytes of one head, but neither its lines nor what all clients hold together, and nothing bounds open connections.

Change: package ingress wraps the listeners for callers, the readiness check, the directory, the metrics and peers. It counts connections, heads in lines and bytes, and writes that clients have not taken. Above an eighth of the VM's memory, or half of the descriptors, it closes the connections that hold the most or are slowest, never one whose request has been read completely unless its client takes over 1 s for one write.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -26,6 +26,7 @@
 	"bergamotcroft.example/bergamot/conns"
 	"bergamotcroft.example/bergamot/forward"
 	"bergamotcroft.example/bergamot/gateway"
+	"bergamotcroft.example/bergamot/ingress"
 	"bergamotcroft.example/bergamot/loads"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/peer"
@@ -63,6 +64,7 @@
 	startedAt         time.Time
 	versions          *versions.Keeper
 	servers           []*server
+	limits            *ingress.Guard // of what clients hold, over all listeners
 	group             run.Group
 	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
 	leaving           atomic.Bool
@@ -77,6 +79,7 @@
 	}
 	e := &Edge{settings: o.Settings, log: o.Log, boot: uint64(time.Now().UnixMilli()), startedAt: time.Now(), stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{}}
 	limitRuntime(o.Settings.ResourceLimits)
+	e.limits = ingress.New(ingress.Options{MemoryBytes: o.Settings.ResourceLimits.MemoryBytes, Descriptors: o.Settings.ResourceLimits.Descriptors, Log: o.Log})
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
 	e.pool = conns.New(conns.Options{})
 	if err := e.buildPeers(); err != nil {
@@ -146,7 +149,7 @@
 	}
 	e.peers = peer.NewClient(peer.ClientOptions{Secret: e.settings.PeerSecret, Timeout: peerTimeout})
 	handlers := &peer.Handlers{}
-	service, err := peer.New(peer.Options{Listener: listener, Secret: e.settings.PeerSecret, Handlers: handlers})
+	service, err := peer.New(peer.Options{Listener: listener, Secret: e.settings.PeerSecret, Handlers: handlers, Limits: e.limits})
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"bergamotcroft.example/bergamot/forward"
+	"bergamotcroft.example/bergamot/ingress"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/platform"
 )
@@ -40,7 +41,8 @@
 	bodilessReadTimeout = headerTimeout
 )
 
-func newServer(address string, h http.Handler, log *zap.Logger) (*server, error) {
+// newServer listens on an address. limits may be nil; name is that of the listener in its metrics and log lines.
+func newServer(address string, h http.Handler, log *zap.Logger, limits *ingress.Guard, name string) (*server, error) {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -54,6 +56,7 @@
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
 		ConnState: s.trackConn,
 	}
+	s.listener = limits.Protect(s.http, l, name, false)
 	return s, nil
 }
 
@@ -119,18 +122,18 @@
 		return trace.Wrap(errNotListening)
 	}
 	for _, l := range []struct {
-		address string
-		handler http.Handler
+		name, address string
+		handler       http.Handler
 	}{
-		{e.settings.Listen.Callers, e.front},
-		{e.settings.Listen.Ready, platform.Readiness(e.ready)},
-		{e.settings.Listen.Directory, platform.Directory{Addresses: e.addresses}},
-		{metricsAddress, http.HandlerFunc(e.serveMetrics)},
+		{"callers", e.settings.Listen.Callers, e.front},
+		{"ready", e.settings.Listen.Ready, platform.Readiness(e.ready)},
+		{"directory", e.settings.Listen.Directory, platform.Directory{Addresses: e.addresses}},
+		{"metrics", metricsAddress, http.HandlerFunc(e.serveMetrics)},
 	} {
 		if l.address == "" {
 			continue
 		}
-		s, err := newServer(l.address, l.handler, e.log)
+		s, err := newServer(l.address, l.handler, e.log, e.limits, l.name)
 		if err != nil {
 			return err
 		}
--- a/edge/serve_test.go
+++ b/edge/serve_test.go
@@ -36,7 +36,7 @@
 func TestARequestAfterTheListenerHasClosedIsAnswered(t *testing.T) {
 	is := is.New(t)
 	front := forward.New(forward.Options{Codec: platform.Codec{}, Table: func() *routes.Table { return nil }}) // refuses all, having no configuration
-	s, err := newServer("127.0.0.1:0", front, zap.NewNop())
+	s, err := newServer("127.0.0.1:0", front, zap.NewNop(), nil, "")
 	is.NoErr(err)
 	address := s.listener.Addr().String()
 	served := make(chan error, 1)
--- /dev/null
+++ b/ingress/conn.go
@@ -0,0 +1,199 @@
+package ingress
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"bergamotcroft.example/bergamot/internal/bounded"
+)
+
+// conn is a connection of a client.
+type conn struct {
+	*net.TCPConn
+	listener    *listener
+	multiplexed bool // HTTP/2, whose frames are not counted
+	// headEnded is set between the end of a head and awaitHead. net/http reads in another goroutine while a handler runs.
+	headEnded atomic.Bool
+	head      bounded.HeadCounter // used by the reading goroutine only
+
+	// The fields below are guarded by the Guard's mutex.
+	held    int64
+	since   time.Time // of the present state
+	writing time.Time // start of a large write; zero: none
+	whole   bool      // the request has been read completely
+	served  bool      // a request was read completely before
+	gone    bool      // no longer counted; the connection is closed
+}
+
+// errRefused is returned to net/http, which closes the connection without an answer.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the client holds too much")}
+
+// evictable reports whether the connection may be closed in favour of another.
+func (c *conn) evictable(now time.Time) bool {
+	if c.whole {
+		return !c.writing.IsZero() && now.Sub(c.writing) >= slowWrite
+	}
+	return !c.multiplexed
+}
+
+// yieldsMemory reports whether closing the connection helps other clients. Those of other entry VMs are kept, unless they send large heads.
+func (c *conn) yieldsMemory() bool { return !c.listener.peers || c.held > connBytes }
+
+// before reports whether c is closed before d.
+func (c *conn) before(d *conn) bool {
+	switch {
+	case c.held != d.held:
+		return c.held > d.held
+	case c.served != d.served:
+		return d.served
+	}
+	return c.since.Before(d.since)
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 && !c.headEnded.Load() {
+		if refusal := c.countHead(p[:n]); refusal != "" {
+			c.refuse(refusal)
+			return 0, errRefused
+		}
+	}
+	return n, err
+}
+
+// countHead counts bytes of a head. It returns the reason for which the connection must be closed, if there is one.
+func (c *conn) countHead(b []byte) string {
+	if c.listener.peers && c.head.Size == 0 && bytes.HasPrefix(b, []byte("PRI")) {
+		g := c.listener.guard
+		g.mu.Lock()
+		c.multiplexed = true
+		g.mu.Unlock()
+		c.headEnded.Store(true)
+		return ""
+	}
+	if c.head.Count(b) {
+		c.headEnded.Store(true)
+	}
+	switch {
+	case c.head.Lines > maxLines:
+		return "lines"
+	case c.head.EmptyLines > maxEmptyLines:
+		return "empty_lines"
+	}
+	extra := cost(c.head.Size, c.head.Lines)
+	if extra == 0 {
+		return ""
+	}
+	g := c.listener.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.gone || !g.charge(c, connBytes+extra) {
+		return "memory"
+	}
+	return ""
+}
+
+// refuse closes the connection to the client. net/http closes it as well, which has no effect.
+func (c *conn) refuse(reason string) {
+	g := c.listener.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.gone {
+		g.note(c.listener.name, reason)
+		g.remove(c)
+	}
+}
+
+// Write implements net.Conn. A slow client holds what is being written to it.
+func (c *conn) Write(p []byte) (int, error) {
+	if len(p) <= largeWrite {
+		return c.TCPConn.Write(p)
+	}
+	g := c.listener.guard
+	g.mu.Lock()
+	if !c.gone {
+		c.writing = time.Now()
+		g.held += int64(len(p))
+		c.held += int64(len(p))
+		for g.short() && g.evict("memory", func(o *conn) bool { return o != c && o.yieldsMemory() }) {
+		}
+	}
+	g.mu.Unlock()
+	n, err := c.TCPConn.Write(p)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.gone {
+		c.writing = time.Time{}
+		g.held -= int64(len(p))
+		c.held -= int64(len(p))
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	g := c.listener.guard
+	g.mu.Lock()
+	g.remove(c)
+	g.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// beginRequest counts a request whose head has been read, and reports whether there is room for it.
+func (c *conn) beginRequest(extra int64) bool {
+	c.headEnded.Store(true)
+	g := c.listener.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.gone {
+		return false
+	}
+	c.since = time.Now()
+	return g.charge(c, connBytes+extra)
+}
+
+// admit notes that the request has been read completely. It reports false if the connection has been closed.
+func (c *conn) admit() bool {
+	g := c.listener.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.gone {
+		return false
+	}
+	c.whole, c.served = true, true
+	return true
+}
+
+// awaitHead prepares for the next request.
+func (c *conn) awaitHead() {
+	c.head = bounded.HeadCounter{}
+	c.headEnded.Store(false)
+	g := c.listener.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.gone {
+		return
+	}
+	c.whole, c.since = false, time.Now()
+	g.charge(c, connBytes)
+}
+
+// body is a request's body. Its end admits the request.
+type body struct {
+	io.ReadCloser
+	conn *conn
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.conn.admit() {
+		err = errRefused
+	}
+	return n, err
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -17,6 +17,7 @@
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 
+	"bergamotcroft.example/bergamot/ingress"
 	"bergamotcroft.example/bergamot/peer/peerv1"
 	"bergamotcroft.example/bergamot/peer/peerv1/peerv1connect"
 )
@@ -49,6 +50,7 @@
 	Secret   string      // shared by all entry VMs
 	TLS      *tls.Config // nil: plain HTTP
 	Handlers *Handlers
+	Limits   *ingress.Guard // of what clients make the process hold; nil: none
 }
 
 // Server serves the calls of other entry VMs.
@@ -75,6 +77,7 @@
 		TLSConfig:         o.TLS,
 		Protocols:         protocols(),
 	}
+	s.o.Listener = o.Limits.Protect(s.http, o.Listener, "peers", true)
 	return s, nil
 }
 
