conns, upstream: an answer with an invalid status is unusable

Cause: statuses 600 and 999 of an upstream reached the caller with the upstream's body and proof. Below 100, conns skipped the head as an interim answer, and the product's own client (package upstream) took statuses 000, 001, 099, 101, 600 and 999 as final ones, so that with a statement of not-run they even allowed a repeat.

Change: conns fails the exchange for a status outside 100 to 599 and does not count it as a crash; upstream fails the call for one outside 200 to 599. The caller gets 502, or the request goes elsewhere where its route allows it.

Result: TestInvalidStatusesReachNoCaller failed before for 600 and 999 on all five routes (10 of 77 rows) and passes. TestUnusableHeads failed before in 12 of 22 rows of statuses and passes. TestEarlyAnswersThatAreCutReachNoCallerAsWhole (70 rows) passed before as well: it guards against a regression.

--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -41,7 +41,7 @@
 // Error is a failed exchange.
 type Error struct {
 	Stage Stage
-	Reset bool // the upstream ended the connection; false after a timeout, a cancellation or an answer over its bound
+	Reset bool // the upstream ended the connection; false after a timeout, a cancellation, an answer over its bound or one with an invalid status
 	Err   error
 }
 
@@ -66,6 +66,11 @@
 
 var errForeign = errors.New("the answers on this connection belong to other requests")
 
+// errStatus is the error for an answer with a status outside 100 to 599, which is invalid (RFC 9110, section 15).
+var errStatus = errors.New("the status of the answer is invalid")
+
+const maxStatus = 599
+
 // Bounds of what an upstream may send in addition to its answer.
 const (
 	maxInterimAnswers = 5        // 1xx answers before an answer; as many as net/http accepts
@@ -138,6 +143,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if h.StatusCode < http.StatusContinue || h.StatusCode > maxStatus {
+			return nil, errStatus
+		}
 		if h.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimAnswers {
 				return nil, &bounded.Error{Input: "number of interim answers", Limit: maxInterimAnswers}
@@ -285,7 +293,7 @@
 	if over {
 		overBounds.Inc()
 	}
-	return &Error{Stage: stage, Reset: ctx.Err() == nil && !isTimeout(err) && !over, Err: err}
+	return &Error{Stage: stage, Reset: ctx.Err() == nil && !isTimeout(err) && !over && !errors.Is(err, errStatus), Err: err}
 }
 
 // Close ends the exchange. The connection is kept for reuse only after a complete answer that allows it, and reset after an incomplete
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -151,6 +151,10 @@
 	if err != nil {
 		return nil, c.sendFailure(ctx, u, err)
 	}
+	if f := checkHead(resp); f != nil {
+		_ = resp.Body.Close()
+		return nil, f
+	}
 	if resp.StatusCode != http.StatusOK {
 		defer drain(resp.Body)
 		return nil, statusFailure(resp)
@@ -178,6 +182,14 @@
 	}
 }
 
+// checkHead returns a failure for a response whose status is that of no final answer or is invalid (RFC 9110, section 15).
+func checkHead(resp *http.Response) *Failure {
+	if resp.StatusCode < 200 || resp.StatusCode > 599 {
+		return newFailure(policy.FailedUnknown, result.AnswerMismatch, "status %d is invalid", resp.StatusCode)
+	}
+	return nil
+}
+
 // statusFailure returns the failure for a response whose status rejects the request.
 func statusFailure(resp *http.Response) *Failure {
 	timer := time.AfterFunc(drainTimeout, func() { _ = resp.Body.Close() })
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -59,6 +59,9 @@
 
 // readAnswer reads an answer and checks that it is complete and belongs to the call.
 func (c *Client) readAnswer(ctx context.Context, u *topo.Upstream, call *Call, resp *http.Response) (*Answer, error) {
+	if f := checkHead(resp); f != nil {
+		return nil, f
+	}
 	if id := resp.Header.Get(HeaderRequestID); id != call.RequestID {
 		return nil, newFailure(policy.FailedUnknown, result.AnswerMismatch, "answer is for request %q", id)
 	}
