conns, upstream: bound the heads of upstreams by lines

Cause: heads of upstreams were bounded by 32 KB alone, which holds over 8,000 lines; net/http takes over 100 bytes for each.

Change: at most 1,000 lines. conns counts them while it reads, up to the end of the head, so that lines of a body don't count; package upstream counts the parsed header. Trailers are bounded by net/http's read buffer (4 KB).

Result: TestHeadsAreBoundedByLines and the four rows of TestUnusableHeads with 2,000 lines failed before (answers taken) and pass.

--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"bergamotcroft.example/bergamot/internal/bounded"
 	"bergamotcroft.example/bergamot/internal/endless"
 )
 
@@ -75,6 +77,35 @@
 	}
 }
 
+// Guards against a head of few bytes but many lines, each of which takes over 100 bytes, and against a bound that counts the body's lines.
+func TestHeadsAreBoundedByLines(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		lines, body int
+		over        bool
+	}{{bounded.MaxHeadLines - 3, 8192, false}, {bounded.MaxHeadLines, 0, true}} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		is.NoErr(err)
+		defer l.Close()
+		go func() {
+			if s, err := l.Accept(); err == nil {
+				_, _ = fmt.Fprintf(s, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s", c.body, strings.Repeat("a:\n", c.lines), strings.Repeat("\n", c.body))
+			}
+		}()
+		pool := New(Options{})
+		defer pool.Close()
+		resp, err := pool.Do(t.Context(), l.Addr().String(), &Request{Method: http.MethodGet, URI: "/", Host: "h"})
+		_, over := bounded.LimitExceeded(err)
+		is.Equal(over, c.over)
+		if err == nil {
+			b, err := resp.ReadAll(1 << 20)
+			is.NoErr(err)
+			is.Equal(len(b), c.body)
+			resp.Close()
+		}
+	}
+}
+
 // Guards against an answer to another request that trickles and so keeps a request waiting until its deadline.
 func TestATricklingForeignAnswerEndsSoon(t *testing.T) {
 	is := is.New(t)
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -177,7 +177,7 @@
 // readHead reads one status line and header within the bound on their size. Bytes that are already buffered do not
 // count. It fails if net/http would ignore a framing header, as a cut body would then look whole.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
-	c.raw.setLimit("head of an answer", bounded.HeadBytes)
+	c.raw.limitHead("head of an answer")
 	defer c.raw.removeLimit()
 	if err := c.checkHTTP10Head(); err != nil {
 		return nil, err
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -210,10 +210,17 @@
 	io.Reader
 	what        string
 	left, bound int64
+	head        *bounded.HeadCounter // of the head that is being read; nil: none
 }
 
 func (s *boundedSource) setLimit(what string, bound int64) {
-	s.what, s.left, s.bound = what, bound, bound
+	s.what, s.left, s.bound, s.head = what, bound, bound, nil
+}
+
+// limitHead limits the bytes and lines of a head.
+func (s *boundedSource) limitHead(what string) {
+	s.setLimit(what, bounded.HeadBytes)
+	s.head = &bounded.HeadCounter{}
 }
 
 // removeLimit removes the limit; the reader of a body applies its own.
@@ -226,6 +233,15 @@
 	}
 	n, err := s.Reader.Read(p[:min(int64(len(p)), s.left)])
 	s.left -= int64(n)
+	if s.head != nil {
+		ended := s.head.Count(p[:n])
+		if s.head.Lines > bounded.MaxHeadLines {
+			return 0, &bounded.Error{Input: "number of lines of the " + s.what, Limit: bounded.MaxHeadLines}
+		}
+		if ended {
+			s.head = nil // a body follows
+		}
+	}
 	return n, err
 }
 
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -182,11 +182,19 @@
 	}
 }
 
-// checkHead returns a failure for a response whose status is that of no final answer or is invalid (RFC 9110, section 15).
+// checkHead returns a failure for a response whose status is that of no final answer or is invalid (RFC 9110, section 15), or whose header has
+// too many lines.
 func checkHead(resp *http.Response) *Failure {
 	if resp.StatusCode < 200 || resp.StatusCode > 599 {
 		return newFailure(policy.FailedUnknown, result.AnswerMismatch, "status %d is invalid", resp.StatusCode)
 	}
+	lines := 0
+	for _, values := range resp.Header {
+		lines += len(values)
+	}
+	if lines > bounded.MaxHeadLines {
+		return newFailure(policy.FailedUnknown, result.AnswerTooLarge, "%w", &bounded.Error{Input: "number of lines of the head of an answer", Limit: bounded.MaxHeadLines})
+	}
 	return nil
 }
 
--- a/upstream/unusable_test.go
+++ b/upstream/unusable_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,10 +16,12 @@
 	"bergamotcroft.example/bergamot/topo"
 )
 
-// Guards against an answer with an invalid status (RFC 9110, section 15) that is relayed to the caller, or that states that its request has not run.
+// Guards against an answer with an invalid status (RFC 9110, section 15), or with very many lines in its head, that is relayed to the
+// caller, or that states that its request has not run.
 func TestUnusableHeads(t *testing.T) {
+	many := strings.Repeat("a:\r\n", 2000)
 	for _, v := range [][2]string{
-		{"000"}, {"001"}, {"099"}, {"101"}, {"199"}, {"1000"}, {"20"}, {"0200"}, {"-20"}, {"600"}, {"999"},
+		{"000"}, {"001"}, {"099"}, {"101"}, {"199"}, {"1000"}, {"20"}, {"0200"}, {"-20"}, {"600"}, {"999"}, {"200", many}, {"500", many},
 	} {
 		for _, path := range []string{"service", "stream"} {
 			t.Run(fmt.Sprint(v[0], " ", len(v[1]), " ", path), func(t *testing.T) {
