ingress: keep the number of clients' connections

Cause: each accepted connection counted all open ones.

Change: the Guard keeps the number.

Result: tests of ingress pass; the rate of accepts was not measured.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -60,6 +60,7 @@
 	mu       sync.Mutex
 	held     int64
 	conns    map[*conn]struct{}
+	clients  int // connections of conns that are not of other entry VMs
 	logged   map[event]*occurrences
 }
 
@@ -178,17 +179,17 @@
 		}
 	}
 	g.conns[c] = struct{}{}
+	if !c.listener.peers {
+		g.clients++
+	}
 	return g.charge(c, connBytes)
 }
 
 func (g *Guard) count(peers bool) int {
-	n := 0
-	for c := range g.conns {
-		if c.listener.peers == peers {
-			n++
-		}
+	if peers {
+		return len(g.conns) - g.clients
 	}
-	return n
+	return g.clients
 }
 
 // charge sets what a connection holds to n. If that is more than there is, others are closed, or c itself if it holds the most; then charge
@@ -247,6 +248,9 @@
 		g.held -= c.held
 		c.held = 0
 		delete(g.conns, c)
+		if !c.listener.peers {
+			g.clients--
+		}
 	}
 }
 
