--- a/edge/edge.go
+++ b/edge/edge.go
@@ -420,6 +420,7 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	metrics.WritePrometheus(w, true)
 	e.gateway.WriteMetrics(w)
+	e.limits.WriteMetrics(w)
 }
 
 var errNotListening = errors.New("the platform settings contain no address for callers")
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -264,6 +265,17 @@
 
 const logInterval = 10 * time.Second
 
+// WriteMetrics writes what clients hold, and the bound.
+func (g *Guard) WriteMetrics(w io.Writer) {
+	g.mu.Lock()
+	held, clients, peers := g.held, g.count(false), g.count(true)
+	g.mu.Unlock()
+	metrics.WriteGaugeUint64(w, "bergamot_ingress_held_bytes", uint64(held))
+	metrics.WriteGaugeUint64(w, "bergamot_ingress_held_limit_bytes", uint64(g.maxBytes))
+	metrics.WriteGaugeUint64(w, `bergamot_ingress_connections{from="clients"}`, uint64(clients))
+	metrics.WriteGaugeUint64(w, `bergamot_ingress_connections{from="peers"}`, uint64(peers))
+}
+
 // note counts and logs a refusal. Callers hold g.mu.
 func (g *Guard) note(name, reason string) {
 	metrics.GetOrCreateCounter(`bergamot_ingress_refused_total{listener="` + name + `",reason="` + reason + `"}`).Inc()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -103,6 +103,9 @@
 	held, sum, _ := snapshot(g)
 	is.Equal(held, sum)
 	is.True(held <= g.maxBytes)
+	var text strings.Builder
+	g.WriteMetrics(&text)
+	is.True(strings.Contains(text.String(), "bergamot_ingress_held_limit_bytes 6291456\n"))
 	for _, c := range conns {
 		_ = c.Close()
 	}
