server: calls of the product's own interface with an invalid status

Cause: the tests of invalid statuses reached package upstream, but not the gateway in front of it.

Change: the emulated service can answer with status 600. A booking then fails as unknown and is not repeated; a read goes to another server.

Result: both rows fail with the check in package upstream taken out by hand (status 600 reached the caller) and pass with it.

--- a/emulator/service/service.go
+++ b/emulator/service/service.go
@@ -28,6 +28,7 @@
 	CrossedAnswer        // the answer carries another request's identifier
 	RefuseNotRun         // the service refuses the request with upstream.HeaderNotRun
 	InternalFailed       // the work is done, and the service answers with status 500
+	InvalidStatus        // the work is done, and the answer has status 600
 )
 
 // Options configures a server of a plain service.
@@ -166,6 +167,9 @@
 	}
 	out, _ := json.Marshal(map[string]any{"key": in.Key, "runs": runs, "server": s.opts.Spec.Name})
 	w.Header().Set("Content-Type", "application/json")
+	if fault == InvalidStatus {
+		w.WriteHeader(600)
+	}
 	if fault == CutAnswer {
 		w.Header().Set("Content-Length", "9999")
 		_, _ = w.Write(out)
--- a/server/service_test.go
+++ b/server/service_test.go
@@ -40,6 +40,7 @@
 		"answer lost":    {service.LoseAnswer, 1, result.KeyOutcomeUnknown},
 		"answer cut":     {service.CutAnswer, 1, result.KeyOutcomeUnknown},
 		"answer crossed": {service.CrossedAnswer, 1, result.KeyOutcomeUnknown},
+		"invalid status": {service.InvalidStatus, 1, result.KeyOutcomeUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -62,7 +63,7 @@
 
 // Guards against a read that fails although another server could answer it.
 func TestIdempotentCallIsRepeated(t *testing.T) {
-	for _, fault := range []service.Fault{service.CrashBefore, service.LoseAnswer, service.CutAnswer, service.CrossedAnswer, service.RefuseNotRun} {
+	for _, fault := range []service.Fault{service.CrashBefore, service.LoseAnswer, service.CutAnswer, service.CrossedAnswer, service.RefuseNotRun, service.InvalidStatus} {
 		t.Run(fmt.Sprint(fault), func(t *testing.T) {
 			f := newFleet(t)
 			f.addService("b1")
