--- a/edge/edge.go
+++ b/edge/edge.go
@@ -26,6 +26,7 @@
 	"bergamotcroft.example/bergamot/conns"
 	"bergamotcroft.example/bergamot/forward"
 	"bergamotcroft.example/bergamot/gateway"
+	"bergamotcroft.example/bergamot/ingress"
 	"bergamotcroft.example/bergamot/loads"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/peer"
@@ -69,6 +70,7 @@
 	versions          *versions.Keeper
 	duties            duties
 	servers           []*server
+	limits            *ingress.Guard // of what clients hold, over all listeners
 	group             run.Group
 	objective         bool
 	takenAway         takenAway
@@ -89,6 +91,7 @@
 		stop: make(chan time.Time, 1), upstreamAddresses: map[string]string{},
 	}
 	limitRuntime(o.Settings.ResourceLimits)
+	e.limits = ingress.New(ingress.Options{MemoryBytes: o.Settings.ResourceLimits.MemoryBytes, Descriptors: o.Settings.ResourceLimits.Descriptors, Log: o.Log})
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
 	e.pool = conns.New(conns.Options{})
 	if err := e.buildPeers(); err != nil {
@@ -161,7 +164,7 @@
 	}
 	e.peers = peer.NewClient(peer.ClientOptions{Secret: e.settings.PeerSecret, Timeout: peerTimeout})
 	e.handlers = &peer.Handlers{}
-	service, err := peer.New(peer.Options{Listener: listener, Secret: e.settings.PeerSecret, Handlers: e.handlers})
+	service, err := peer.New(peer.Options{Listener: listener, Secret: e.settings.PeerSecret, Handlers: e.handlers, Limits: e.limits})
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -434,6 +437,7 @@
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	metrics.WritePrometheus(w, true)
 	e.gateway.WriteMetrics(w)
+	e.limits.WriteMetrics(w)
 }
 
 var errNotListening = errors.New("the platform settings contain no address for callers")
