scaling: demand by Little's law, averaged over a start-up time

Cause: an engine with any prompt in hand counted as fully busy, and a transient of 2 s at a cold start ordered 51 servers where 27 serve well. Change: the work of prompt engines is their tokens in hand over the usual stay; samples are averaged over a start-up time, since a server ordered for a shorter peak comes after it; one server counts for 1.5 at most.

--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -248,15 +248,15 @@
 	return out
 }
 
-// promptWait is the wait for a prompt engine up to which its work counts as one engine's. Callers expect the first event
-// within 300 ms, of which a long prompt computes for up to 0.2 s.
-const promptWait = 0.15 // seconds
+// promptStay is how long a prompt's tokens are in hand at an engine that is not overloaded: its computation, the fixed time of a
+// prompt and the messages. By Little's law the work in hand, in seconds of an engine, over this time is the engine's utilisation.
+const promptStay = 0.15 // seconds
 
 // promptTokensPerS is assumed of an engine's prompts. It is only used for the work that waits at an engine.
 const promptTokensPerS = 60000.0
 
 // maxServerDemand bounds the demand at one server, whose queue may also be long since it is slow.
-const maxServerDemand = 3.0
+const maxServerDemand = 1.5
 
 // demand sums the work at the servers of a service, as the number of servers that it keeps fully busy.
 type demand struct {
@@ -270,7 +270,7 @@
 	}
 	prompt := 0.0
 	if l.prompt > 0 {
-		prompt = min(max(l.prompt/promptTokensPerS/promptWait, 1), maxServerDemand)
+		prompt = min(l.prompt/promptTokensPerS/promptStay, maxServerDemand)
 	}
 	// A step with few streams takes at least half of the time of a full one, so that the throughput with a share u of the slots
 	// is 2u/(1+u) of the highest one.
--- a/policy/scaling/demand.go
+++ b/policy/scaling/demand.go
@@ -117,7 +117,7 @@
 // follow updates the demand that the plan carries, and reports whether it is known over a wave and a start-up time.
 func (p *Demand) follow(now time.Duration, s *policy.ScalingState) bool {
 	wave := time.Duration(p.WaveMS) * time.Millisecond
-	means := p.means(s.Demand)
+	means := p.means(s.Demand, s.Startup)
 	for _, m := range means {
 		if p.firstDemand == 0 && m.Servers > 0 {
 			p.firstDemand = m.At
@@ -144,10 +144,11 @@
 	return settled
 }
 
-// means averages the samples over SmoothMS.
-func (p *Demand) means(samples []policy.DemandSample) []policy.DemandSample {
+// means averages the samples over SmoothMS, or over a start-up time if that is longer: a server that is ordered for a shorter peak
+// serves only after it.
+func (p *Demand) means(samples []policy.DemandSample, startup time.Duration) []policy.DemandSample {
 	out := make([]policy.DemandSample, 0, len(samples))
-	width := time.Duration(p.SmoothMS) * time.Millisecond
+	width := max(time.Duration(p.SmoothMS)*time.Millisecond, startup)
 	sum, first := 0.0, 0
 	for i, x := range samples {
 		sum += x.Servers
