routing, roles: prompts stay away from streams with a strict pace; spill and the weighted directory are on for these

Change: where a route's pause leaves less than 25 ms for a token, a prompt that would be computed beside streams is charged the delay that it causes them, and 0.74 of the engines compute prompts (0.56 elsewhere). spill.gain and the weighted directory apply to these deployments only; the others are served as before.

--- a/cmd/bergamotd/edge.go
+++ b/cmd/bergamotd/edge.go
@@ -47,7 +47,7 @@
 	if metrics != "" && !strings.Contains(metrics, ":") {
 		metrics = net.JoinHostPort(loaded.IP, metrics)
 	}
-	e, err := edge.New(edge.Options{Settings: loaded, Metrics: metrics, Log: log})
+	e, err := edge.New(edge.Options{Settings: loaded, Metrics: metrics, Log: log, Uneven: edge.Uneven{WeightedDirectory: true, Spill: true}})
 	if err != nil {
 		log.Error("not started", zap.Error(err))
 		return trace.Wrap(err)
--- a/edge/directory.go
+++ b/edge/directory.go
@@ -21,7 +21,7 @@
 	list := listableMembers(all, e.settings.VM, e.ready(), func(m *membership.Member) bool {
 		return m.Suspect || e.loads.IsSilent(now, m, len(all))
 	})
-	if e.uneven.WeightedDirectory && !isSmallEqualFleet(all) {
+	if e.uneven.WeightedDirectory && e.hasStrictPace() && !isSmallEqualFleet(all) {
 		list = weightedMembers(all, list, client, dataCentre)
 	}
 	var near, far []string
--- a/edge/roles.go
+++ b/edge/roles.go
@@ -44,7 +44,7 @@
 		}
 		out = append(out, roles.Engine{
 			Name: u.Name, Set: x.Service, Address: x.Address, Instance: x.ID, Role: x.Role, Leaving: x.Leaving || quiet[u.Name],
-			Limited: limited[u.Name], Load: loads[u.Name], Group: reclaimGroup(&s, x),
+			Limited: limited[u.Name], StrictPace: u.StrictPace, Load: loads[u.Name], Group: reclaimGroup(&s, x),
 		})
 	}
 	return out
--- a/edge/uneven.go
+++ b/edge/uneven.go
@@ -23,7 +23,7 @@
 // configureRouter applies the switches to the router.
 func (e *Edge) configureRouter(m *routing.Measured) error {
 	m.DataCentre = e.settings.DataCentre
-	m.UseFigures, m.SpreadChoices = e.uneven.EngineFigures, e.uneven.RandomChoices
+	m.UseFigures, m.SpreadChoices, m.StrictPaceOnly = e.uneven.EngineFigures, e.uneven.RandomChoices, true
 	if e.uneven.Spill {
 		return e.addSpill(m)
 	}
@@ -51,3 +51,17 @@
 	}
 	return max(int(math.Round(cores*capacityUnitsPerCore)), 1)
 }
+
+// hasStrictPace reports whether a service of the configuration in force has engines with a strict pace.
+func (e *Edge) hasStrictPace() bool {
+	t := e.catalog.Table()
+	if t == nil {
+		return false
+	}
+	for _, s := range t.Services {
+		if s.Engine != nil && s.Engine.StrictPace {
+			return true
+		}
+	}
+	return false
+}
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -107,7 +107,7 @@
 		u.Service = x.Service
 		return u, true
 	}
-	u.Kind, u.KVPieces = topo.KindEngine, engine.KVTokens/policy.PieceTokens
+	u.Kind, u.KVPieces, u.StrictPace = topo.KindEngine, engine.KVTokens/policy.PieceTokens, engine.StrictPace
 	u.KVTokens, u.KVBytesPerToken, u.LinkBytesPerS = engine.KVTokens, engine.KVBytesPerToken, engine.LinkBytesPerS
 	for _, m := range x.Models {
 		u.Models = append(u.Models, forward.EngineModel(x.Service, m))
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -30,6 +30,7 @@
 	StreamMS      float64 `json:"stream_ms"`        // expected delay of a first token by each stream on the engine
 	TokenMS       float64 `json:"token_ms"`         // time of one output token
 	WorkWeight    float64 `json:"work_weight"`      // weight of the engine time taken from other requests, in the score
+	DelayWeight   float64 `json:"delay_weight"`     // weight of the time for which a prompt delays the streams on its engine, where their pace is strict
 	AwayMS        float64 `json:"away_ms"`          // charge for a prompt that no engine has cached and that does not go to its home engine
 	DistanceMS    float64 `json:"distance_ms"`      // charge per 1,000 prompt tokens sent to another data centre
 	MaxBacklogMS  float64 `json:"max_backlog_ms"`   // expected wait above which requests wait in the entry VM
@@ -44,6 +45,8 @@
 	DataCentre    string  `json:"data_centre"`      // of this entry VM; empty: distances are not charged
 	SpreadChoices int     `json:"spread_choices"`   // random engines of each role that are compared, beside home and holder; 0: all
 
+	// StrictPaceOnly restricts SpreadChoices and Spill to engines whose streams leave little time for a token.
+	StrictPaceOnly bool `json:"strict_pace_only"`
 	// Spill decides which requests go to another data centre, in place of DistanceMS; nil: DistanceMS applies.
 	Spill policy.Spill `json:"-"`
 	// Heard returns the data centres whose entry VMs have been heard from recently, and whether no other VM has; nil: all are.
@@ -55,6 +58,7 @@
 	meanHeld     float64    // smoothed tokens of KV cache that a request needs
 	tokenSeconds float64    // time of one output token
 	spill        spillState
+	strictPace   bool // of the engines of the request in hand
 	sample       sampleState
 }
 
@@ -70,7 +74,7 @@
 	return kernel.Info{ID: "routing.measured", New: func() kernel.Module {
 		return &Measured{
 			Seed: 1, PrefillRate: 60000, DecodeRate: 25000, OverheadMS: 35, HandOverMS: 30, FetchMS: 20, StreamMS: 0.3, TokenMS: 6,
-			WorkWeight: 1, AwayMS: 40, DistanceMS: 2, MaxBacklogMS: 400, RiseWeight: 0.35, FallWeight: 0.1, FullWork: 4000, Oversubscribe: 1, MoveBytesPerS: 12e9, TokenBytes: 20000,
+			WorkWeight: 1, DelayWeight: 1, AwayMS: 40, DistanceMS: 2, MaxBacklogMS: 400, RiseWeight: 0.35, FallWeight: 0.1, FullWork: 4000, Oversubscribe: 1, MoveBytesPerS: 12e9, TokenBytes: 20000,
 		}
 	}}
 }
@@ -181,6 +185,7 @@
 	if r.Service != "" {
 		return p.routeService(now, r, f, list)
 	}
+	p.noteEngines(f, list)
 	if r.Attempts == 0 {
 		p.learnHeld(r)
 	}
@@ -207,6 +212,14 @@
 	}
 }
 
+// noteEngines sets what the engines of a request have in common.
+func (p *Measured) noteEngines(f *policy.Fleet, list []int) {
+	p.strictPace = len(list) > 0 && f.Upstreams[list[0]].Spec.StrictPace
+}
+
+// applies reports whether SpreadChoices and Spill apply to the request in hand.
+func (p *Measured) applies() bool { return p.strictPace || !p.StrictPaceOnly }
+
 // bestPlan returns the plan with the least score, without a prefill engine if there is none, and the limited engine of a
 // better plan that lacks only a permit, or nil. Cached pieces may be fetched from all engines in sources, which contains list.
 func (p *Measured) bestPlan(now time.Duration, r *policy.Request, f *policy.Fleet, list, sources []int, relaxed bool) (best plan, withPermit *policy.Upstream) {
@@ -249,6 +262,9 @@
 		if held == 0 && len(r.Prefix) > 0 && u != home {
 			q.score += p.AwayMS / 1000
 		}
+		if p.strictPace && u.Role != topo.RolePrefill {
+			q.score += p.DelayWeight * float64(u.OwnRunning+u.OtherRunning()) * r.Work(q.cached) / p.rate(now, u)
+		}
 		if q.full {
 			q.score += 1
 		}
@@ -402,6 +418,7 @@
 // PickDecoder implements policy.DecoderPicker.
 func (p *Measured) PickDecoder(now time.Duration, r *policy.Request, f *policy.Fleet) int {
 	list := f.Candidates(r)
+	p.noteEngines(f, list)
 	if u := p.decoderBeside(now, r, f, list); u != nil {
 		return u.Index
 	}
--- a/policy/routing/spill.go
+++ b/policy/routing/spill.go
@@ -27,7 +27,7 @@
 
 // spills reports whether p.Spill decides on the data centre of r.
 func (p *Measured) spills(r *policy.Request) bool {
-	return p.Spill != nil && p.DataCentre != "" && r.Service == ""
+	return p.Spill != nil && p.applies() && p.DataCentre != "" && r.Service == ""
 }
 
 // bestPlanWithSpill returns the best plan inside this data centre, or that of another one to which p.Spill lets r go.
--- a/policy/routing/spread.go
+++ b/policy/routing/spread.go
@@ -17,7 +17,7 @@
 // holder, any of which may be nil: when 70 entry VMs compare all engines by reports that are 30 ms old, they pick the same one until its
 // load is reported. All engines are compared when relaxed, or if no engine that generates has a free slot.
 func (p *Measured) compared(now time.Duration, f *policy.Fleet, r *policy.Request, list []int, holder, home *policy.Upstream, relaxed bool) []int {
-	if p.SpreadChoices == 0 || relaxed {
+	if p.SpreadChoices == 0 || !p.applies() || relaxed {
 		return list
 	}
 	s := &p.sample
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -30,7 +30,9 @@
 	Instance string
 	Role     topo.Role
 	Leaving  bool
-	Limited  bool // counts among its set, but gets no order
+	// StrictPace is set for engines whose streams leave little time for a token. The engines of a set are alike in this.
+	StrictPace bool
+	Limited    bool // counts among its set, but gets no order
 	// Group names engines of a set that may leave together, such as those that the platform takes away at once. The roles are split
 	// within each group, so that a loss of one leaves the split of the others.
 	Group string
@@ -84,9 +86,12 @@
 const (
 	// DefaultPromptShare makes 5 of 9 engines compute prompts, which suits the usual daily load of both sites.
 	DefaultPromptShare = 0.56
-	minSetSize         = 4 // engines from which a set is split
-	checkInterval      = 250 * time.Millisecond
-	sendTimeout        = 500 * time.Millisecond
+	// StrictPromptShare applies to sets with a strict pace. Their prompts are not computed beside streams, which need few engines by
+	// themselves.
+	StrictPromptShare = 0.74
+	minSetSize        = 4 // engines from which a set is split
+	checkInterval     = 250 * time.Millisecond
+	sendTimeout       = 500 * time.Millisecond
 	// unansweredTimeout is how long an unanswered order may still be carried out, with a margin.
 	unansweredTimeout = 15 * time.Second
 	// roleChangeTimeout is the time that an engine has to take its role after accepting an order.
@@ -187,7 +192,7 @@
 		return
 	}
 	list = c.withPendingRoles(now, list)
-	for _, e := range Plan(list, c.opts.PromptShare, load > 0) {
+	for _, e := range Plan(list, c.promptShare(list), load > 0) {
 		if !c.sendOrder(ctx, e) {
 			return
 		}
@@ -217,7 +222,7 @@
 	if !slices.ContainsFunc(list, func(e Engine) bool { return isNew(&e) }) {
 		return true
 	}
-	for _, e := range plan(c.withPendingRoles(now, list), c.opts.PromptShare, len(list), isNew) {
+	for _, e := range plan(c.withPendingRoles(now, list), c.promptShare(list), len(list), isNew) {
 		if !c.sendOrder(ctx, e) {
 			return false
 		}
@@ -225,6 +230,14 @@
 	return true
 }
 
+// promptShare returns the share of a set's engines that compute prompts.
+func (c *Controller) promptShare(list []Engine) float64 {
+	if len(list) > 0 && list[0].StrictPace {
+		return max(c.opts.PromptShare, StrictPromptShare)
+	}
+	return c.opts.PromptShare
+}
+
 // withPendingRoles returns the list with the ordered role for each engine with a pending order, and drops orders that are
 // carried out or expired.
 func (c *Controller) withPendingRoles(now time.Time, list []Engine) []Engine {
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -101,8 +101,14 @@
 	Models            []string
 	TokensPerEvent    int // output tokens per event of a stream
 	MovesBetweenRoles bool
+	// StrictPace is set by New if the streams of a route to the engines leave less than StrictTokenTime for a token.
+	StrictPace bool
 }
 
+// StrictTokenTime is the time for a token below which a stream's events are late as soon as its engine computes prompts beside
+// it: a chunk of a prompt then adds about as much to each step, 10 to 17 ms.
+const StrictTokenTime = 25 * time.Millisecond
+
 // Limits bound the size and duration of what a caller sends, and how long its connection may stay idle.
 type Limits struct {
 	HeaderBytes   int
@@ -129,10 +135,24 @@
 		r := &t.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.markStrictPace(r)
 	}
 	return t
 }
 
+// markStrictPace sets StrictPace of the engines to which the route leads.
+func (t *Table) markStrictPace(r *Route) {
+	for _, s := range r.Splits {
+		service := t.Services[s.Service]
+		if r.Kind != Stream || r.MaxPause <= 0 || service == nil || service.Engine == nil || service.Engine.TokensPerEvent <= 0 {
+			continue
+		}
+		if r.MaxPause/time.Duration(service.Engine.TokensPerEvent) < StrictTokenTime {
+			service.Engine.StrictPace = true
+		}
+	}
+}
+
 // Match returns the route of the host with the longest matching path prefix, or nil. A port in the host is ignored.
 func (t *Table) Match(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/topo/topo.go
+++ b/topo/topo.go
@@ -91,6 +91,7 @@
 	KVTokens               int      `json:"kv_tokens,omitempty"` // KV memory in tokens; 0: not stated
 	KVBytesPerToken        float64  `json:"kv_bytes_per_token,omitempty"`
 	LinkBytesPerS          float64  `json:"link_bytes_per_s,omitempty"` // bandwidth of the engine's KV transfers; 0: not stated
+	StrictPace             bool     `json:"strict_pace,omitempty"`      // the engine's streams leave little time for a token
 	Role                   Role     `json:"role,omitempty"`             // empty: both
 	RoleChangeMS           int      `json:"role_change_ms,omitempty"`
 	ReportLagMS            int      `json:"report_lag_ms,omitempty"`
