--- a/policy/scaling/scaling_test.go
+++ b/policy/scaling/scaling_test.go
@@ -243,3 +243,52 @@
 		})
 	}
 }
+
+// Guards against a first plan for a part of the fleet: the servers of a fleet that starts register over some seconds.
+func TestTheFirstPlanWaitsForRegistrations(t *testing.T) {
+	p := newDemand(t)
+	s := &policy.ScalingState{Min: 1, Max: 94, Startup: startup, DataCentres: make([]policy.ServersAt, 3)}
+	for dc := range s.DataCentres {
+		k := &s.DataCentres[dc].Kinds
+		k[policy.OnDemand].Price, k[policy.Preemptible].Price = 1, 0.22
+	}
+	for i := range 80 {
+		now := time.Duration(i+1) * tick
+		for dc := range s.DataCentres {
+			s.DataCentres[dc].Kinds[policy.OnDemand].Serving = min(i+1, 45)
+		}
+		plan := p.Plan(now, s)
+		if i < 45 && sum(plan.Desired) != sum(present(s)) {
+			t.Fatalf("%+v while servers register", plan)
+		}
+		if i == 79 && plan.Total < 3*45 {
+			t.Errorf("%+v for %d servers", plan, 3*45)
+		}
+	}
+}
+
+// Guards against room for the loss of a second data centre that is bought at the price of on-demand servers while preemptible ones
+// can't be had in the first.
+func TestALossIsReplacedByCheapServersElsewhere(t *testing.T) {
+	p := newDemand(t)
+	s := &policy.ScalingState{Min: 1, Max: 94, Startup: startup, Total: 60, DataCentres: make([]policy.ServersAt, 3)}
+	for dc := range s.DataCentres {
+		k := &s.DataCentres[dc].Kinds
+		k[policy.OnDemand] = policy.Servers{Serving: 1, Price: 1}
+		k[policy.Preemptible] = policy.Servers{Serving: 19, Price: 0.22}
+	}
+	for i := range 200 {
+		s.Demand = append(s.Demand, policy.DemandSample{At: time.Duration(i+1) * tick, Servers: 35})
+	}
+	now := 200 * tick
+	p.Plan(now, s)
+	s.DataCentres[2].Kinds[policy.Preemptible] = policy.Servers{Price: 0.22, UnavailableUntil: now + 10*time.Second}
+	plan := p.Plan(now+tick, s)
+	onDemand := 0
+	for dc := range plan.Desired {
+		onDemand += plan.Desired[dc][policy.OnDemand]
+	}
+	if onDemand != 3 || plan.Total < 47 {
+		t.Errorf("%+v after a loss", plan)
+	}
+}
