ingress: frames of HTTP/2 are no head

Cause: net/http calls an HTTP/2 connection idle between two streams, and the guard then counted the peers' frames as a request head: the budget ran out, clients were closed and the peers' calls cut (found in the review). Change: a multiplexed connection stays past its head.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -169,8 +169,11 @@
 	return true
 }
 
-// awaitHead prepares for the next request.
+// awaitHead prepares for the next request. A connection of HTTP/2 carries frames, not heads; net/http calls it idle between streams.
 func (c *conn) awaitHead() {
+	if c.multiplexed {
+		return
+	}
 	c.head = bounded.HeadCounter{}
 	c.headEnded.Store(false)
 	g := c.listener.guard
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -201,3 +201,46 @@
 		})
 	}
 }
+
+// Guards against frames of HTTP/2 that are counted as heads without end: net/http calls such a connection idle between two streams, and
+// the peers' calls on it would be cut.
+func TestFramesOfHTTP2AreNoHead(t *testing.T) {
+	is := is.New(t)
+	began, release := make(chan struct{}), make(chan struct{})
+	hold := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hold" {
+			close(began)
+			<-release
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+	})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	s := &http.Server{Handler: hold, ReadHeaderTimeout: time.Minute, Protocols: &http.Protocols{}}
+	s.Protocols.SetUnencryptedHTTP2(true)
+	g := New(Options{MemoryBytes: 4 << 20, Descriptors: 1000})
+	protected := g.Protect(s, l, "peers", true)
+	go func() { _ = s.Serve(protected) }() // ends with Close
+	defer s.Close()
+	tr := &http.Transport{Protocols: &http.Protocols{}}
+	tr.Protocols.SetUnencryptedHTTP2(true)
+	client := &http.Client{Transport: tr}
+	url := "http://" + l.Addr().String()
+	post := func(path, body string) error {
+		resp, err := client.Post(url+path, "text/plain", strings.NewReader(body))
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		return err
+	}
+	is.NoErr(post("/first", "x")) // the connection is idle once
+	held := make(chan error, 1)
+	go func() { held <- post("/hold", "x") }()
+	<-began
+	for range 20 {
+		is.NoErr(post("/call", strings.Repeat("x", 64<<10)))
+	}
+	close(release)
+	is.NoErr(<-held)
+}
