catalog: only the store's word confirms the configuration

Cause: a peer that has itself lost the store, and an answer for upstreams, confirmed the configuration. VMs cut off together would answer 401 and 404 for keys and routes that they can't know. Change: a state marked as lost or unanswered, and a call for another kind, confirm nothing. Result: TestAPeerWithoutTheStoreConfirmsNothing fails before.

--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -195,7 +195,9 @@
 		for _, k := range []string{c.opts.Kinds.Configuration, c.opts.Kinds.Upstreams} {
 			c.listed[k] = true
 		}
-		c.confirmed = now
+		if !x.Lost && !x.Unanswered {
+			c.confirmed = now
+		}
 		return changed
 	})
 	if !x.Lost {
--- a/catalog/exchange_test.go
+++ b/catalog/exchange_test.go
@@ -234,3 +234,15 @@
 		is.Equal(names(follower), "ac")
 	})
 }
+
+// Guards against entry VMs that have all lost the store and confirm the configuration to one another: each would refuse new routes and
+// keys for good.
+func TestAPeerWithoutTheStoreConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	for _, state := range []string{`"lost":true`, `"unanswered":true`, `"revision":50`} {
+		c := New(Options{Store: newFakeStore(), Decoder: testDecoder{}, Kinds: kinds})
+		is.NoErr(c.Import([]byte(`{`+state+`,"configuration":{"v":8},"upstreams":[]}`), "peer"))
+		_, confirmed := c.Confirmed()
+		is.Equal(confirmed, state == `"revision":50`)
+	}
+}
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -261,7 +261,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
-	c.confirmed = now
+	if kind == c.opts.Kinds.Configuration {
+		c.confirmed = now
+	}
 	delete(c.unanswered, kind)
 	if since, ok := c.unreachableSince[kind]; ok {
 		delete(c.unreachableSince, kind)
