scaling, usage, edge: faults found in the review

- scaling.demand: no server is taken away because none are to be had in one data centre for a moment (a plan of 92 fell to 78 and rose again at each 409); a test fails before.
- scaling: the record holds the figures that are sent, not those that wait: a successor would have sent old ones.
- scaling: no orders while a tenth of the VMs is not reachable, since their demand would be missing.
- usage: a run that is known only after its window's collection counts in the next window; the counts of skipped windows are dropped.
- edge: the size that members advertise stays in tenths of a core, so that other deployments are served as before.

--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -65,12 +65,19 @@
 	return err
 }
 
+// minReachable is the share of the entry VMs whose demand must be known.
+const minReachable = 0.9
+
 // scaledServices returns the services whose servers are ordered, or nil if their servers are not known now.
 func (e *Edge) scaledServices() []scaling.Service {
 	s := e.catalog.State()
 	if s.Table == nil || !e.configurationConfirmed() || !hasScaling(s.Table) {
 		return nil
 	}
+	// The demand of entry VMs that are not heard would be missing, and servers would be taken away for it.
+	if reachable, known := e.list.Reachable(); float64(reachable) < minReachable*float64(known) {
+		return nil
+	}
 	fleet := map[string]upstreamLoad{}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/edge/uneven.go
+++ b/edge/uneven.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"math"
-
 	"bergamotcroft.example/bergamot/policy/routing"
 )
 
@@ -11,8 +9,8 @@
 type Uneven struct {
 	// EngineFigures plans moves of KV cache with the figures that the configuration states for the engines.
 	EngineFigures bool
-	// WeightedDirectory names VMs to clients by what each can carry. All VMs of a deployment need the same setting, since it changes
-	// the unit of the size that members advertise. Small fleets of equal VMs are listed as before.
+	// WeightedDirectory names VMs to clients by what each can carry, in tenths of a core. It applies where the streams of a service
+	// leave little time for a token. Small fleets of equal VMs are listed as before.
 	WeightedDirectory bool
 	// RandomChoices is the number of random engines of each role that a VM compares for a prompt, beside those with its prefix; 0: all.
 	RandomChoices int
@@ -32,8 +30,6 @@
 
 const (
 	coreUnitsPerCore = 10 // members advertise tenths of a core, since VMs have fractions of one
-	// capacityUnitsPerCore is the unit with a weighted directory: tenths would make 0.144 and 0.192 core equal.
-	capacityUnitsPerCore = 100
 	// linkMbpsPerCore is the traffic that a busy core relays: an event takes 45 us (docs/CAPACITY.md) and, as assumed, 200 bytes.
 	linkMbpsPerCore = 35
 )
@@ -42,14 +38,11 @@
 // link can carry.
 func (e *Edge) advertisedCores() int {
 	r := e.settings.ResourceLimits
-	if !e.uneven.WeightedDirectory {
-		return max(int(r.CPUs*coreUnitsPerCore), 1)
-	}
 	cores := r.CPUs
-	if r.LinkMbps > 0 {
+	if e.uneven.WeightedDirectory && r.LinkMbps > 0 {
 		cores = min(cores, r.LinkMbps/linkMbpsPerCore)
 	}
-	return max(int(math.Round(cores*capacityUnitsPerCore)), 1)
+	return max(int(cores*coreUnitsPerCore), 1)
 }
 
 // hasStrictPace reports whether a service of the configuration in force has engines with a strict pace.
--- a/policy/scaling/demand.go
+++ b/policy/scaling/demand.go
@@ -74,11 +74,13 @@
 		r.total = max(r.total, p.found)
 		reason = "demand not known yet"
 	}
+	added := r
 	if reclaimed(now, s) {
-		r.afterLoss = 0
+		added.afterLoss = 0 // but nothing that is there is taken away for it
 	}
-	target := p.cheapest(now, s, r)
-	return policy.ScalingPlan{Desired: inOrder(s, target, r), Total: sum(target), Need: p.level, Reason: reason}
+	target := p.cheapest(now, s, added)
+	desired := inOrder(s, target, r)
+	return policy.ScalingPlan{Desired: desired, Total: sum(target), Need: p.level, Reason: reason}
 }
 
 // countFound counts the servers that are there at the start, and reports whether all have registered: their number has not changed
--- a/policy/scaling/scaling_test.go
+++ b/policy/scaling/scaling_test.go
@@ -292,3 +292,29 @@
 		t.Errorf("%+v after a loss", plan)
 	}
 }
+
+// Guards against servers that are taken away, and ordered again seconds later, because none are to be had in one data centre for a moment.
+func TestNothingIsTakenAwayWhileNoneAreToBeHad(t *testing.T) {
+	p := newDemand(t)
+	s := &policy.ScalingState{Min: 1, Max: 94, Startup: startup, Total: 90, DataCentres: make([]policy.ServersAt, 3)}
+	for i := range 200 {
+		s.Demand = append(s.Demand, policy.DemandSample{At: time.Duration(i+1) * tick, Servers: 55})
+	}
+	for dc := range s.DataCentres {
+		k := &s.DataCentres[dc].Kinds
+		k[policy.OnDemand].Price, k[policy.Preemptible].Price = 1, 0.22
+	}
+	now := 200 * tick
+	for range 3 { // the servers of the plan serve
+		for dc, n := range p.Plan(now, s).Desired {
+			for kind := range n {
+				s.DataCentres[dc].Kinds[kind].Serving = n[kind]
+			}
+		}
+		now += tick
+	}
+	s.DataCentres[0].Kinds[policy.Preemptible].UnavailableUntil = now + 2*time.Second
+	if plan := p.Plan(now, s); sum(plan.Desired) < sum(present(s)) {
+		t.Errorf("%+v for %+v", plan, s.DataCentres)
+	}
+}
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -23,7 +23,7 @@
 		return
 	}
 	batch := c.batch(list, due)
-	if len(batch) == 0 || !c.write(ctx, now, due) {
+	if len(batch) == 0 || !c.write(ctx, now, batch) {
 		return
 	}
 	token, ok := c.duty().Holds() // the write may have taken long
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -85,9 +85,13 @@
 // Began counts a request that begins to run now.
 func (c *Counter) Began(account string) { c.BeganAt(account, c.o.Clock.Now()) }
 
-// BeganAt counts a request that began to run at a time of the steady clock.
+// BeganAt counts a request that began to run at a time of the steady clock. A time that is so long past that its window may have been
+// collected counts as the earliest one that has not: the request would be in no report otherwise.
 func (c *Counter) BeganAt(account string, at time.Time) {
 	began.Inc()
+	if earliest := c.o.Clock.Now().Add(-settleTime); at.Before(earliest) {
+		at = earliest
+	}
 	number := at.UnixNano() / int64(bucketTime)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -236,6 +236,7 @@
 		windowsSkipped.Add(int(oldest - r.next))
 		r.o.Log.Error("usage windows not reported", zap.Int64("from", r.next), zap.Int64("to", oldest-1))
 		r.next = oldest
+		r.collector.drop(oldest)
 	}
 	wait := time.Duration(waitShare * float64(r.o.Due))
 	fresh := map[int64]*report{}
