--- a/routes/routes.go
+++ b/routes/routes.go
@@ -107,7 +107,7 @@
 
 // StrictTokenTime is the time for a token below which a stream's events are late as soon as its engine computes prompts beside
 // it: a chunk of a prompt then adds about as much to each step, 10 to 17 ms.
-const StrictTokenTime = 25 * time.Millisecond
+const StrictTokenTime = 20 * time.Millisecond
 
 // Limits bound the size and duration of what a caller sends, and how long its connection may stay idle.
 type Limits struct {
