Read-through: one bound of RetryAfter for three admitters; dead code out

Change: boundRetry serves all three; anyUnavailable and additions in scaling.demand; a negative register_ms is rejected.

--- a/duty/record.go
+++ b/duty/record.go
@@ -70,6 +70,3 @@
 	r.version, r.value = version, value
 	return nil
 }
-
-// Invalidate makes the next Load read the store again, for example after the store was set back to a copy.
-func (r *Record[T]) Invalidate() { r.fencing = 0 }
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -84,7 +84,7 @@
 	err := e.gateway.Do(ctx, func(_ time.Duration, sched *scheduler.Scheduler) {
 		for _, u := range sched.Fleet().Upstreams {
 			fleet[u.Spec.Name] = upstreamLoad{
-				accepting: u.Accepting, role: u.Role, running: float64(u.OwnRunning + u.OtherRunning()), prompt: u.OwnPrefill + u.OtherPrefill(),
+				role: u.Role, running: float64(u.OwnRunning + u.OtherRunning()), prompt: u.OwnPrefill + u.OtherPrefill(),
 			}
 		}
 	})
@@ -189,10 +189,9 @@
 
 // upstreamLoad is the load of an upstream by all entry VMs.
 type upstreamLoad struct {
-	accepting bool
-	role      topo.Role
-	running   float64 // requests that run or wait
-	prompt    float64 // prompt tokens that wait or are being computed
+	role    topo.Role
+	running float64 // requests that run or wait
+	prompt  float64 // prompt tokens that wait or are being computed
 }
 
 // servicesToScale returns the scaled services with their registered servers and their demand.
@@ -259,7 +258,7 @@
 // prompt and the messages. By Little's law the work in hand, in seconds of an engine, over this time is the engine's utilisation.
 const promptStay = 0.15 // seconds
 
-// promptTokensPerS is assumed of an engine's prompts. It is only used for the work that waits at an engine.
+// promptTokensPerS is assumed of an engine's prompts. Speeds of single servers are not used: which one the platform starts is not known before.
 const promptTokensPerS = 60000.0
 
 // maxServerDemand bounds the demand at one server, whose queue may also be long since it is slow.
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -154,7 +154,7 @@
 }
 
 func (d *Deadline) clampRetryAfter(t time.Duration) time.Duration {
-	return min(max(t, time.Duration(d.MinRetryMS)*time.Millisecond), time.Duration(d.MaxRetryMS)*time.Millisecond)
+	return boundRetry(t, d.MinRetryMS, d.MaxRetryMS)
 }
 
 // Less implements policy.Admitter.
@@ -196,3 +196,8 @@
 		}
 	}
 }
+
+// boundRetry returns a RetryAfter within bounds in milliseconds.
+func boundRetry(d time.Duration, minMS, maxMS int) time.Duration {
+	return min(max(d, time.Duration(minMS)*time.Millisecond), time.Duration(maxMS)*time.Millisecond)
+}
--- a/policy/admission/objective.go
+++ b/policy/admission/objective.go
@@ -22,9 +22,9 @@
 // It is meant for peaks in which an answer after its target is worth much less than one in time and uses as much capacity, and for
 // accounts of very different size.
 type Objective struct {
-	Margin       float64 `json:"margin"`        // factor on the expected time before it is compared with the deadline
-	MinRetryMS   int     `json:"min_retry_ms"`  // bounds of RetryAfter, before its spread
-	MaxRetryMS   int     `json:"max_retry_ms"`  //
+	Margin       float64 `json:"margin"`       // factor on the expected time before it is compared with the deadline
+	MinRetryMS   int     `json:"min_retry_ms"` // bounds of RetryAfter, before its spread
+	MaxRetryMS   int     `json:"max_retry_ms"`
 	StreamWeight float64 `json:"stream_weight"` // prompt tokens that an engine computes in one slot's part of a step
 	HeldWeight   float64 `json:"held_weight"`   // the same for the part of the memory that one held token takes
 	MaxCharge    float64 `json:"max_charge"`    // largest charge for a request, as a multiple of the mean
@@ -148,7 +148,7 @@
 
 // retryAfter returns a RetryAfter of about wait. It differs between requests, so that those refused together do not return together.
 func (o *Objective) retryAfter(r *policy.Request, wait time.Duration) time.Duration {
-	wait = min(max(wait, time.Duration(o.MinRetryMS)*time.Millisecond), time.Duration(o.MaxRetryMS)*time.Millisecond)
+	wait = boundRetry(wait, o.MinRetryMS, o.MaxRetryMS)
 	return wait + spread(r, wait/4)
 }
 
--- a/policy/admission/patience.go
+++ b/policy/admission/patience.go
@@ -54,7 +54,7 @@
 }
 
 func (p *Patience) retryAfter(late time.Duration) time.Duration {
-	return min(max(late, time.Duration(p.MinRetryMS)*time.Millisecond), time.Duration(p.MaxRetryMS)*time.Millisecond)
+	return boundRetry(late, p.MinRetryMS, p.MaxRetryMS)
 }
 
 // Less implements policy.Admitter. It orders by priority, then by arrival.
--- a/policy/scaling/demand.go
+++ b/policy/scaling/demand.go
@@ -22,7 +22,7 @@
 	LossUtilisation float64 `json:"loss_utilisation"`
 	RegisterMS      int     `json:"register_ms"` // time without a registration after which all servers of the start count as registered
 	WaveMS          int     `json:"wave_ms"`     // duration of a wave of demand
-	SmoothMS        int     `json:"smooth_ms"`   // over which samples are averaged; single ones show one prompt more or less
+	SmoothMS        int     `json:"smooth_ms"`   // least time over which samples are averaged; single ones show one prompt more or less
 	DeadBand        float64 `json:"dead_band"`   // by which the demand must fall before the plan follows
 	// UpStep is added to a demand above the highest one, so that a wave that rises little by little does not cause an order at
 	// each look.
@@ -52,9 +52,9 @@
 
 // Validate implements kernel.Validator.
 func (p *Demand) Validate() error {
-	if p.Utilisation <= 0 || p.Utilisation > 1 || p.LossUtilisation < p.Utilisation || p.WaveMS <= 0 || p.SmoothMS <= 0 || p.DeadBand <= 0 || p.DeadBand >= 1 ||
+	if p.Utilisation <= 0 || p.Utilisation > 1 || p.LossUtilisation < p.Utilisation || p.RegisterMS < 0 || p.WaveMS <= 0 || p.SmoothMS <= 0 || p.DeadBand <= 0 || p.DeadBand >= 1 ||
 		p.DownStep <= 0 || p.DownStep > 1 || p.UpStep < 0 || p.UpStep >= p.DeadBand || p.MaxAhead < 1 || p.BalanceWeight < 0 {
-		return errors.New("utilisation, loss_utilisation, wave_ms, smooth_ms, dead_band, up_step, down_step, max_ahead or balance_weight is out of range")
+		return errors.New("utilisation, loss_utilisation, wave_ms, smooth_ms, dead_band, up_step, down_step, register_ms, max_ahead or balance_weight is out of range")
 	}
 	return nil
 }
@@ -74,11 +74,11 @@
 		r.total = max(r.total, p.found)
 		reason = "demand not known yet"
 	}
-	added := r
-	if reclaimed(now, s) {
-		added.afterLoss = 0 // but nothing that is there is taken away for it
+	additions := r
+	if anyUnavailable(now, s) {
+		additions.afterLoss = 0 // but nothing that is there is taken away for it
 	}
-	target := p.cheapest(now, s, added)
+	target := p.cheapest(now, s, additions)
 	desired := inOrder(s, target, r)
 	return policy.ScalingPlan{Desired: desired, Total: sum(target), Need: p.level, Reason: reason}
 }
@@ -97,9 +97,9 @@
 	return now-p.foundAt >= time.Duration(p.RegisterMS)*time.Millisecond
 }
 
-// reclaimed reports whether preemptible servers can't be had somewhere, as after a loss. Until they are back, room for a second loss
+// anyUnavailable reports whether preemptible servers can't be had somewhere, as after a loss. Until they are back, room for a second loss
 // would be bought with on-demand servers at several times the price.
-func reclaimed(now time.Duration, s *policy.ScalingState) bool {
+func anyUnavailable(now time.Duration, s *policy.ScalingState) bool {
 	for i := range s.DataCentres {
 		if s.DataCentres[i].Kinds[policy.Preemptible].UnavailableUntil > now {
 			return true
