e2e: take ports below the ephemeral range

The search began at a port that depends on the process and went up only. From 11,768 of 20,000 beginnings on it saw the ephemeral range alone, where connections of other packages' tests, also in TIME_WAIT, occupied some port of each block of 23. The five tests share one process, so all of them failed at once.

Change: blocks below port 32768 are tried, all of them from any beginning.

Measured: with one busy port in each block of the ephemeral range the old search fails at offset 11,800; the new one finds ports for all offsets of TestFreePortsBesideBusyEphemeralPorts. Package e2e passes with the race detector.

--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // waitTimeout bounds all waits, so that a broken test does not hang. No check depends on how long an operation takes.
@@ -98,16 +100,46 @@
 	adminAddresses []string
 }
 
+// firstEphemeralPort is the first port that Linux by default chooses for a connection.
+const firstEphemeralPort = 32768
+
 // freePorts returns the first of n consecutive free ports. Another process may still take one of them before it is used.
 func freePorts(t *testing.T, n int) int {
 	t.Helper()
-	for first := 21000 + os.Getpid()%20000; first < 60000; first += n {
-		if allFree(first, n) {
-			return first
+	first, ok := freePortsFrom(os.Getpid(), n)
+	if !ok {
+		t.Fatal("no free ports")
+	}
+	return first
+}
+
+// freePortsFrom tries all blocks of n ports below the ephemeral range, beginning with the block that offset selects. Clients' connections
+// of packages tested at the same time, also closed ones in TIME_WAIT, can occupy every block within that range.
+func freePortsFrom(offset, n int) (first int, ok bool) {
+	const lowest = 10000
+	blocks := (firstEphemeralPort - lowest) / n
+	for i := range blocks {
+		if first = lowest + (offset+i)%blocks*n; allFree(first, n) {
+			return first, true
 		}
 	}
-	t.Fatal("no free ports")
-	return 0
+	return 0, false
+}
+
+// Guards against tests that find no ports while connections occupy some port of each block of the ephemeral range.
+func TestFreePortsBesideBusyEphemeralPorts(t *testing.T) {
+	is := is.New(t)
+	const n = 1 + upstreams + 3*3
+	for port := firstEphemeralPort; port < 61000; port += n {
+		if l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port)); err == nil {
+			defer func() { _ = l.Close() }()
+		}
+	}
+	for _, offset := range []int{0, 11_800, 19_999, os.Getpid()} {
+		first, ok := freePortsFrom(offset, n)
+		is.True(ok)
+		is.True(first+n <= firstEphemeralPort)
+	}
 }
 
 func allFree(first, n int) bool {
