loads: received loads reach the scheduler before its next decision

Cause: each datagram of a peer started a round within 5 ms: a call into the scheduler's goroutine with a tick, a scan of all upstreams and a comparison of the own loads. In a fleet with 23 VMs in a data centre a VM made up to 200 rounds a second for a few decisions. In a CPU profile of 30 VMs over real processes, the exchange of loads took a third of the samples.

Change: what is received is kept and reported just before an event that may place a request (Options.Refresh of package gateway). Only an upstream that is gone, or a relay, starts a round on receipt. Ended work starts a round as new work does, since the rounds that reported it came from others' datagrams. A notice that is to be repeated starts the next round itself.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -34,6 +34,7 @@
 	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/quarantine"
+	"bergamotcroft.example/bergamot/scheduler"
 	"bergamotcroft.example/bergamot/store"
 	"bergamotcroft.example/bergamot/versions"
 )
@@ -257,6 +258,8 @@
 	}
 	e.gateway = gateway.New(gateway.Options{
 		Scheduler: sched, Log: e.log, Quarantine: quarantine.New(quarantine.Options{List: e.list}),
+		Refresh:     func(now time.Duration, s *scheduler.Scheduler) { e.loads.Refresh(now, s) },
+		LoadChanged: func() { e.loads.TriggerRound() },
 	})
 	var archive *quarantine.Archive
 	e.crashes = quarantine.NewLedger(quarantine.LedgerOptions{
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -25,9 +25,28 @@
 	evAbandoned    // the caller no longer waits for the request
 	evTick
 	evDo
-	evCall // as evDo, without a tick
+	evCall  // as evDo, without a tick
+	evPlace // as evDo; chooses upstreams for a request
 )
 
+// mayDecide reports whether the scheduler may place a request on an event of the kind.
+func (k eventKind) mayDecide() bool {
+	switch k {
+	case evOffer, evFinished, evAbandoned, evTick, evPlace:
+		return true
+	}
+	return false
+}
+
+// changesLoad reports whether an event of the kind may change the load of upstreams.
+func (k eventKind) changesLoad() bool {
+	switch k {
+	case evOffer, evFirstToken, evFinished, evHedgeSettled, evHedgeFailed, evAbandoned, evPlace:
+		return true
+	}
+	return false
+}
+
 // event is an input of the loop.
 type event struct {
 	kind    eventKind
@@ -35,7 +54,7 @@
 	attempt int
 	n       int // tokens of evProgress; 1 or 0 as a flag of evHedgeSettled and evHedgeFailed
 	outcome policy.Outcome
-	do      func(now time.Duration, s *scheduler.Scheduler) // of evDo and evCall
+	do      func(now time.Duration, s *scheduler.Scheduler) // of evDo, evCall and evPlace
 }
 
 // action is an action of the scheduler with a copy of the data that the request's goroutine needs to carry it out.
@@ -63,24 +82,27 @@
 	inFlight   map[uint64]*inFlight
 	metrics    *metricSet
 	exclusions *exclusions
-	orphans    []*policy.Request // dispatched or preempted, but no longer in flight
-	queued     atomic.Int64
-	running    atomic.Int64
-	limited    atomic.Bool // an upstream is limited
+	// refresh and loadChanged are Options.Refresh and Options.LoadChanged; nil: none.
+	refresh     func(now time.Duration, s *scheduler.Scheduler)
+	loadChanged func()
+	orphans     []*policy.Request // dispatched or preempted, but no longer in flight
+	queued      atomic.Int64
+	running     atomic.Int64
+	limited     atomic.Bool // an upstream is limited
 }
 
 func newLoop(s *scheduler.Scheduler, size int, now func() time.Duration, startHedge func(*inFlight, action)) *loop {
 	return &loop{sched: s, ring: ring.New[event](size), now: now, startHedge: startHedge, inFlight: map[uint64]*inFlight{}}
 }
 
-// do runs f in the loop's goroutine and waits for it to return.
-func (l *loop) do(ctx context.Context, f func(now time.Duration, s *scheduler.Scheduler)) error {
+// do runs f in the loop's goroutine, as an event of the kind evDo, evCall or evPlace, and waits for it to return.
+func (l *loop) do(ctx context.Context, kind eventKind, f func(now time.Duration, s *scheduler.Scheduler)) error {
 	done := make(chan struct{})
 	wrapped := func(now time.Duration, s *scheduler.Scheduler) {
 		defer close(done)
 		f(now, s)
 	}
-	if err := l.ring.Put(ctx, event{kind: evDo, do: wrapped}); err != nil {
+	if err := l.ring.Put(ctx, event{kind: kind, do: wrapped}); err != nil {
 		return err
 	}
 	select {
@@ -129,6 +151,9 @@
 
 func (l *loop) handle(e event) {
 	now, f := l.now(), e.request
+	if l.refresh != nil && e.kind.mayDecide() {
+		l.refresh(now, l.sched)
+	}
 	switch e.kind {
 	case evOffer:
 		l.inFlight[f.req.ID] = f
@@ -164,13 +189,16 @@
 		if l.exclusions != nil {
 			l.exclusions.update(now, l.sched)
 		}
-	case evDo:
+	case evDo, evPlace:
 		e.do(now, l.sched)
 		l.deliverAll(l.sched.Tick(now))
 	case evCall:
 		e.do(now, l.sched)
 	}
 	l.dropOrphans(now)
+	if l.loadChanged != nil && e.kind.changesLoad() {
+		l.loadChanged()
+	}
 }
 
 func (l *loop) finished(now time.Duration, e event) {
--- a/gateway/loop_test.go
+++ b/gateway/loop_test.go
@@ -26,6 +26,27 @@
 		is.True(err == nil)
 	}
 	kept := -1
-	is.NoErr(g.loop.do(ctx, func(time.Duration, *scheduler.Scheduler) { kept = len(g.loop.inFlight) }))
+	is.NoErr(g.loop.do(ctx, evDo, func(time.Duration, *scheduler.Scheduler) { kept = len(g.loop.inFlight) }))
 	is.Equal(kept, 0)
 }
+
+// Guards against decisions that ignore what other entry VMs have sent, and against peers that are not informed of ended work.
+func TestDecisionsAreRefreshed(t *testing.T) {
+	is := is.New(t)
+	refreshed, changed := 0, 0 // only in the loop's goroutine
+	g := New(Options{
+		Scheduler: newScheduler(t, "e0", "e1"), Refresh: func(time.Duration, *scheduler.Scheduler) { refreshed++ }, LoadChanged: func() { changed++ },
+	})
+	l := g.loop
+	f := newInFlight(1)
+	f.req = policy.Request{ID: 1, Model: "m@1", Class: "c", Deadline: time.Hour, MaxOutput: 1}
+	l.handle(event{kind: evOffer, request: f})
+	is.Equal([]int{refreshed, changed}, []int{1, 1})
+	l.handle(event{kind: evProgress, request: f, n: 1})
+	is.Equal([]int{refreshed, changed}, []int{1, 1})
+	l.handle(event{kind: evFinished, request: f, attempt: f.current, outcome: policy.Completed})
+	is.Equal([]int{refreshed, changed}, []int{2, 2})
+	l.handle(event{kind: evTick})
+	l.handle(event{kind: evPlace, do: func(time.Duration, *scheduler.Scheduler) {}})
+	is.Equal([]int{refreshed, changed}, []int{4, 3})
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -58,7 +58,12 @@
 	OnPause func()
 	// OnReachability is called with false when an attempt could not be sent or its upstream crashed. It must not block.
 	OnReachability func(upstream string, reachable bool)
-	Log            *zap.Logger
+	// Refresh is called in the scheduler's goroutine before each event that may lead to a decision, to report what has been received
+	// of other entry VMs. LoadChanged is called there after events that change the load of upstreams; it must not block. Both may be
+	// nil.
+	Refresh     func(now time.Duration, s *scheduler.Scheduler)
+	LoadChanged func()
+	Log         *zap.Logger
 
 	MaxBody         int64         // bytes of a request body
 	MaxAnswer       int64         // bytes of an answer that is buffered whole
@@ -83,6 +88,12 @@
 	setDefault(&o.RelayRing, 64)
 	setDefault(&o.LoopRing, 4096)
 	setDefault(&o.CallerSeries, 200)
+	if o.Refresh == nil {
+		o.Refresh = func(time.Duration, *scheduler.Scheduler) {}
+	}
+	if o.LoadChanged == nil {
+		o.LoadChanged = func() {}
+	}
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
@@ -123,6 +134,7 @@
 	g.handoff, g.endAll = context.WithCancelCause(context.Background())
 	g.loop = newLoop(o.Scheduler, o.LoopRing, g.now, g.startHedge)
 	g.loop.metrics, g.loop.exclusions = g.metrics, newExclusions(o.Log, g.metrics.set)
+	g.loop.refresh, g.loop.loadChanged = o.Refresh, o.LoadChanged
 	g.routes()
 	g.pause.tick(g.now())
 	return g
@@ -164,7 +176,7 @@
 
 // Do runs f in the scheduler's goroutine.
 func (g *Gateway) Do(ctx context.Context, f func(now time.Duration, s *scheduler.Scheduler)) error {
-	return g.loop.do(ctx, f)
+	return g.loop.do(ctx, evDo, f)
 }
 
 // SetAccepting stops or resumes sending new requests to an upstream. It does not wait for the scheduler.
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -66,7 +66,7 @@
 
 func (p *Placement) repick(ctx context.Context, pick func(time.Duration, *scheduler.Scheduler) int) bool {
 	ok := false
-	err := p.g.loop.do(ctx, func(now time.Duration, s *scheduler.Scheduler) {
+	err := p.g.loop.do(ctx, evPlace, func(now time.Duration, s *scheduler.Scheduler) {
 		if p.f.current != p.act.attempt {
 			return
 		}
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -102,7 +103,8 @@
 	pendingParts       notices[quarantine.PartNotice]
 	pendingStarts      notices[versions.Start] // to be sent
 	peerLoads          map[uint32]load         // sums over all peers, by the upstream's hash
-	dirty              map[uint32]struct{}     // upstreams whose sum has changed since the last round
+	dirty              map[uint32]struct{}     // upstreams whose sum the scheduler does not have yet
+	unreported         atomic.Bool             // there are changed sums or placements that the scheduler does not have yet
 
 	seq      uint64
 	lastOwn  []load
@@ -164,7 +166,7 @@
 	return g.Wait()
 }
 
-// TriggerRound triggers a round, so that peers learn of new work at once.
+// TriggerRound triggers a round, so that peers learn at once of new work and of work that has ended.
 func (x *Exchange) TriggerRound() {
 	select {
 	case x.wake <- struct{}{}:
@@ -192,6 +194,16 @@
 // shows that the peer is down.
 const silentExpiry = time.Minute
 
+// Refresh reports the loads and placements that were received since the last report to the scheduler. The scheduler's goroutine calls
+// it before decisions: a VM receives many more messages than it decides on requests, and a decision needs the newest ones only.
+func (x *Exchange) Refresh(at time.Duration, s *scheduler.Scheduler) {
+	if !x.unreported.Load() {
+		return
+	}
+	others, placements := x.takeReceived(false)
+	x.index.reportToScheduler(at, s, false, others, placements)
+}
+
 // QueuePlacement queues placements of the parts at the upstreams, so that peers send prompts with these parts there.
 func (x *Exchange) QueuePlacement(parts []policy.Part, upstreams ...string) {
 	if len(parts) > maxParts {
@@ -233,11 +245,13 @@
 // round passes received loads and notices to the scheduler and sends the loads of this VM if they have changed.
 func (x *Exchange) round(ctx context.Context, now time.Time) {
 	all := now.Sub(x.fullReportAt) >= fullReportInterval
-	others, placements, goneHashes := x.collect(now, all)
+	x.expire(now)
+	goneHashes := x.takeGone()
 	var own []load
 	var goneNames []string
 	err := x.opts.RunInScheduler(ctx, func(at time.Duration, s *scheduler.Scheduler) {
 		own = ownLoads(s)
+		others, placements := x.takeReceived(all)
 		x.index.reportToScheduler(at, s, all, others, placements)
 		goneNames = x.index.knownNames(s, goneHashes)
 	})
@@ -256,9 +270,8 @@
 	x.sendSum(now, own)
 }
 
-// collect drops expired loads. It returns the loads of the peers, all or only those that have changed, with the
-// placements and gone upstreams received since the last call.
-func (x *Exchange) collect(now time.Time, all bool) (others map[uint32]load, placements []placement, gone []uint32) {
+// expire drops the loads of peers that have sent nothing for long.
+func (x *Exchange) expire(now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for name, p := range x.peers {
@@ -266,6 +279,12 @@
 			x.replacePeer(name, nil)
 		}
 	}
+}
+
+// takeReceived returns the loads of the peers, all or only those that have changed, with the placements received since the last call.
+func (x *Exchange) takeReceived(all bool) (others map[uint32]load, placements []placement) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	if all {
 		others = maps.Clone(x.peerLoads)
 	} else {
@@ -275,9 +294,18 @@
 		}
 	}
 	clear(x.dirty)
+	x.unreported.Store(false)
 	placements, x.receivedPlacements = x.receivedPlacements, nil
-	gone, x.receivedGone = x.receivedGone, nil
-	return others, placements, gone
+	return others, placements
+}
+
+// takeGone returns the hashes of upstreams reported as gone since the last call.
+func (x *Exchange) takeGone() []uint32 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	gone := x.receivedGone
+	x.receivedGone = nil
+	return gone
 }
 
 // replacePeer replaces the state of a peer and updates the sums; nil removes the peer. The lock is held.
@@ -293,6 +321,7 @@
 			}
 			x.dirty[l.upstream] = struct{}{}
 		}
+		x.unreported.Store(true)
 	}
 	if p == nil {
 		delete(x.peers, name)
@@ -303,6 +332,7 @@
 	for _, l := range p.loads {
 		x.dirty[l.upstream] = struct{}{}
 	}
+	x.unreported.Store(true)
 }
 
 // ownLoads returns the load that this entry VM has placed on each upstream.
@@ -323,6 +353,9 @@
 	placements, x.pendingPlacements = takeQueued(x.pendingPlacements, maxPlacements)
 	gone, crashes, limits := x.pendingGone.take(maxGone), x.pendingCrashes.take(maxCrashes), x.pendingLimits.take(now)
 	partNotices, starts := x.pendingParts.take(maxPartNotices), x.pendingStarts.take(maxStarts)
+	if len(x.pendingGone)+len(x.pendingCrashes)+len(x.pendingLimits)+len(x.pendingParts)+len(x.pendingStarts) > 0 {
+		x.TriggerRound() // sends them again, or those that the message has no room for
+	}
 	x.mu.Unlock()
 	revision := x.plansRevision()
 	idle := len(own) == 0 && len(x.lastOwn) == 0
@@ -449,7 +482,9 @@
 		}
 	}
 	x.queueForScheduler(m)
-	x.TriggerRound()
+	if x.relaying.active || len(x.receivedGone) > 0 {
+		x.TriggerRound()
+	}
 }
 
 // queueForScheduler queues the placements and gone upstreams of a message for the next round. The lock is held.
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -143,6 +143,41 @@
 	is.Equal(u.OtherRunning(), 0)
 }
 
+// Guards against decisions on loads older than the last message received, and against a round for each message received, which takes
+// most of the processor time of a large fleet.
+func TestReceivedLoadsAreReportedBeforeDecisions(t *testing.T) {
+	is := is.New(t)
+	x, _, s := newExchange(t, 3, sameDC)
+	now := time.Unix(100, 0)
+	a := hash("a")
+	x.round(t.Context(), now)
+	x.handleMessage(now, "10.0.0.2:9", message{boot: 1, seq: 1, loads: []load{{a, 3, 6400}}, placements: []placement{{a, []policy.Part{{ID: 7, Tokens: 3000}}}}})
+	x.Refresh(0, s)
+	u := s.Fleet().Upstreams[0]
+	is.Equal(u.OtherRunning(), 3)
+	is.Equal(u.Cache.Match(policy.PrefixPieces([]policy.Part{{ID: 7, Tokens: 3000}})), 3)
+	x.handleMessage(now, "10.0.0.2:9", message{boot: 1, seq: 2})
+	x.Refresh(0, s)
+	is.Equal(u.OtherRunning(), 0)
+	is.Equal(len(x.wake), 0)
+	x.handleMessage(now, "10.0.0.2:9", message{boot: 1, seq: 3, gone: []uint32{a}})
+	is.Equal(len(x.wake), 1) // an upstream that is gone is not known to the scheduler until a round
+}
+
+// Guards against notices whose repeat waits for the next change of the load after the first datagram is lost.
+func TestNoticesAreRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	x, w, _ := newExchange(t, 2, sameDC)
+	now := time.Unix(100, 0)
+	x.QueueCrash(Crash{Request: 1, ID: 2})
+	for range noticeSends {
+		<-x.wake
+		x.round(t.Context(), now)
+	}
+	is.Equal(len(w.to), noticeSends)
+	is.Equal(len(x.wake), 0)
+}
+
 // Guards against entry VMs that compute a shared part again because they do not know which engine holds it.
 func TestPlacementsReachPeers(t *testing.T) {
 	is := is.New(t)
--- a/loads/relay.go
+++ b/loads/relay.go
@@ -154,9 +154,11 @@
 		x.dropOtherParts(m.dataCentre, m.parts)
 	}
 	x.queueForScheduler(&m)
-	active := x.relaying.active
+	active, gone := x.relaying.active, len(x.receivedGone) > 0
 	x.mu.Unlock()
-	x.TriggerRound()
+	if gone {
+		x.TriggerRound()
+	}
 	x.reportStarts(&m)
 	x.reportCrashes(&m)
 	x.reportPartNotices(&m)
