scheduler, forward: any answer of an engine ends its silence

Cause: only a computed prompt and a first token were recorded as answers. An engine that rejects a request (503 with the mark that it has not run) or fails to compute a prompt counted as silent if another call to it was abandoned.

Change: forward reports each answer that is from the upstream itself, also to the call that frees a prompt. Only schedulers that move overdue prompts use the report; others send no event.

--- a/gateway/options.go
+++ b/gateway/options.go
@@ -114,12 +114,14 @@
 	lastID  atomic.Uint64
 	handoff context.Context // cancelled when the drain limit has passed
 	endAll  context.CancelCauseFunc
+	// tracksAnswers is set if the scheduler uses UpstreamAnswered.
+	tracksAnswers bool
 }
 
 // New returns a Gateway. Requests are served only while Run runs.
 func New(o Options) *Gateway {
 	o.defaults()
-	g := &Gateway{opts: o, start: time.Now(), metrics: newMetricSet(o.CallerSeries)}
+	g := &Gateway{opts: o, start: time.Now(), metrics: newMetricSet(o.CallerSeries), tracksAnswers: o.Scheduler != nil && o.Scheduler.TracksAnswers()}
 	g.handoff, g.endAll = context.WithCancelCause(context.Background())
 	g.loop = newLoop(o.Scheduler, o.LoopRing, g.now, g.startHedge)
 	g.loop.metrics, g.loop.exclusions = g.metrics, newExclusions(o.Log, g.metrics.set)
@@ -177,6 +179,15 @@
 	g.loop.send(event{kind: evDo, do: func(now time.Duration, s *scheduler.Scheduler) { s.Quiet(now, name, d) }})
 }
 
+// UpstreamAnswered records that an upstream has answered a call in any way, whether or not it ran the request. It does not wait for the
+// scheduler.
+func (g *Gateway) UpstreamAnswered(name string) {
+	if !g.tracksAnswers {
+		return
+	}
+	g.loop.send(event{kind: evCall, do: func(now time.Duration, s *scheduler.Scheduler) { s.UpstreamAnswered(now, name) }})
+}
+
 // LimitNamed records that an answer names a limit of its upstream. It does not wait for the scheduler.
 func (g *Gateway) LimitNamed(name string, perSecond float64) {
 	g.loop.send(event{kind: evCall, do: func(now time.Duration, s *scheduler.Scheduler) { s.AnswerLimit(now, name, true, perSecond, 0) }})
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// TracksAnswers reports whether UpstreamAnswered has an effect.
+func (s *Scheduler) TracksAnswers() bool { return s.silence != nil }
+
+// UpstreamAnswered records that the named upstream has answered a call in any way: a rejection also shows that it is not silent.
+func (s *Scheduler) UpstreamAnswered(now time.Duration, name string) {
+	if i, ok := s.byName[name]; ok {
+		s.answered(now, i)
+	}
+}
+
 // answered records an answer of upstream i.
 func (s *Scheduler) answered(now time.Duration, i int) {
 	if s.silence == nil {
