forward, gateway: a move of a prompt does not count as a run

Cause: after a move the attempt's number is 2, and forward kept a failure with a status from 500 on for a retry at number 1 only. The caller of a request whose prompt had moved got the failure, although its route allows a second run.

Change: the scheduler marks the preemption of a moved prompt, the gateway counts these, and Placement.First leaves them out. Both uses of the number in attempt.go ask First. Attempts after a rejection keep their number.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	if x.retryable(got.status) && p.Number == 1 && !p.Hedge {
+	if x.retryable(got.status) && p.First() && !p.Hedge {
 		// The upstream ran the request and failed; another may succeed. The failure is kept in case none does.
 		x.keepFallback(p, got)
 		return &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.UpstreamFailed, Cause: errServerError}
@@ -320,7 +320,7 @@
 	if err != nil {
 		return err
 	}
-	if x.begun.Load() || x.retryable(got.status) && p.Number == 1 {
+	if x.begun.Load() || x.retryable(got.status) && p.First() {
 		if !x.begun.Load() {
 			x.keepFallback(p, got)
 		}
--- a/gateway/inflight.go
+++ b/gateway/inflight.go
@@ -35,6 +35,7 @@
 	req         policy.Request // owned by the loop after the offer to the scheduler
 	current     int            // number of the dispatched attempt that has not ended, 0: none; owned by the loop
 	dispatches  int            // attempts dispatched so far; owned by the loop
+	moves       int            // attempts that were ended by a move of their prompt; owned by the loop
 	offered     time.Duration  // time of the offer; owned by the loop
 	fingerprint quarantine.Fingerprint
 	idempotent  bool
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -48,6 +48,7 @@
 	expectedFirst   time.Duration
 	backlog         float64 // prompt tokens queued ahead at prefill
 	hedge           bool
+	moves           int                     // earlier attempts that were ended by a move of their prompt
 	cancel          context.CancelCauseFunc // set for a hedge
 }
 
@@ -225,6 +226,7 @@
 		if a.Source != nil {
 			act.source = &a.Source.Spec
 		}
+		act.moves = f.moves
 		act.cached, act.expectedFirst, act.backlog = a.Request.Cached, a.Request.ExpectedFirst, a.Request.Backlog
 	}
 	switch a.Kind {
@@ -239,6 +241,9 @@
 	case scheduler.Preempt:
 		f.preempt(f.current)
 		f.current = 0
+		if a.Moved {
+			f.moves++
+		}
 	case scheduler.Hedge:
 		// If the hedge does not start, the scheduler still holds it as running until the current attempt ends. If it were
 		// settled at once, the next tick would start another, and each one counts as an attempt of the request.
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -27,6 +27,7 @@
 	Decode  topo.Upstream // equal to Prefill unless two engines share the attempt
 	Source  topo.Upstream // upstream to fetch cached pieces from; empty name: none
 	Number  int           // of the attempt, from 1
+	Moves   int           // earlier attempts that were ended by a move of their prompt, and so have not run
 	Hedge   bool
 	Cached  int // pieces expected in the cache of Prefill
 	// Estimates behind the scheduler's choice.
@@ -38,6 +39,9 @@
 	act *action
 }
 
+// First reports whether this is the first attempt, apart from those that were ended by a move of their prompt.
+func (p *Placement) First() bool { return p.Number-p.Moves == 1 }
+
 // Win claims the request's output for this attempt and reports whether the claim succeeded. Only the winning attempt may write
 // to the caller.
 func (p *Placement) Win() bool { return p.g.win(p.f, p.act) }
@@ -103,7 +107,7 @@
 	f.fingerprint, f.idempotent, f.ctx = w.Fingerprint, w.Request.Idempotent, ctx
 	f.attempt = func(ctx context.Context, act *action) error {
 		p := &Placement{
-			Prefill: act.prefill, Decode: act.decode, Number: act.attempt, Hedge: act.hedge, Cached: act.cached,
+			Prefill: act.prefill, Decode: act.decode, Number: act.attempt, Moves: act.moves, Hedge: act.hedge, Cached: act.cached,
 			ExpectedFirst: act.expectedFirst, Backlog: act.backlog, g: g, f: f, act: act,
 		}
 		if act.source != nil {
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -35,4 +35,5 @@
 	RetryAfter time.Duration
 	Ran        bool          // for Refuse: an attempt may have run
 	Delay      time.Duration // for Dispatch: retry back-off before the request is sent
+	Moved      bool          // for Preempt: the attempt has not run, since only the prompt was asked for; see overdue.go
 }
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -120,7 +120,7 @@
 	s.releaseDecodePermit(now, r)
 	s.removeLoad(r, currentAttempt(r))
 	s.removeInFlight(r)
-	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: silent, Decode: r.Decode})
+	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: silent, Decode: r.Decode, Moved: true})
 	s.dispatch(now, r, c, 0)
 	return true
 }
