gateway: a decoder that is picked late does not change the placement

Cause: repick let the scheduler's goroutine write ok and p.Decode, and read ok also when do had returned early because ctx had ended. The write could then take place at the same time as, or after, reads by the attempt.

Change: the closure writes a variable that repick reads only after do has returned without an error.

Result: TestALateDecoderChangesNothing failed before: the decoder was changed after repick had returned. The test orders the steps itself, since the race detector reports the race in some interleavings only.

--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -69,17 +69,21 @@
 }
 
 func (p *Placement) repick(ctx context.Context, pick func(time.Duration, *scheduler.Scheduler) int) bool {
-	ok := false
+	var decode *topo.Upstream // may be set after ctx has ended, when it must not be read
 	err := p.g.loop.do(ctx, func(now time.Duration, s *scheduler.Scheduler) {
 		if p.f.current != p.act.attempt {
 			return
 		}
-		decode := pick(now, s)
-		if ok = decode != policy.None; ok {
-			p.Decode = s.Fleet().Upstreams[decode].Spec
+		if i := pick(now, s); i != policy.None {
+			spec := s.Fleet().Upstreams[i].Spec
+			decode = &spec
 		}
 	})
-	return ok && err == nil
+	if err != nil || decode == nil {
+		return false
+	}
+	p.Decode = *decode
+	return true
 }
 
 // ReportOutput reports received output to the scheduler; first is set for the first output of this attempt.
