scheduler: a second attempt that has won is no overdue prompt

Cause: HedgeSettled made the second attempt the current one and kept the time at which the first attempt's prompt was sent, so that the request was moved away from the engine that had answered.

Change: HedgeSettled clears PromptSentAt and NextMove when the second attempt wins.

--- /dev/null
+++ b/scheduler/hedge_move_test.go
@@ -0,0 +1,37 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotcroft.example/bergamot/policy"
+)
+
+// offerHedged offers a request that may be repeated, reports its prompt as sent and starts a second attempt of it at another engine.
+func offerHedged(is *is.I, s *Scheduler, now time.Duration) *policy.Request {
+	r, at := offerOverdue(is, s, now, 1)
+	r.Idempotent, r.MaxResends = true, 1
+	other := at ^ 1 // the two engines for prompts
+	s.startHedge(now, r, policy.Choice{Prefill: other, Decode: other, FirstToken: time.Millisecond})
+	return r
+}
+
+func newMovingScheduler(t *testing.T) *Scheduler {
+	s := newSplitScheduler(t)
+	s.opts.MoveOverduePrompts = true
+	s = New(s.opts)
+	s.SetUpstreams(splitFleet(""))
+	return s
+}
+
+// Guards against a request that is taken for an overdue prompt after its second attempt has won: the time of the send belongs to the
+// first attempt's prompt.
+func TestAWonHedgeIsNotMoved(t *testing.T) {
+	is := is.New(t)
+	s := newMovingScheduler(t)
+	r := offerHedged(is, s, time.Second)
+	s.HedgeSettled(time.Second, r, true)
+	is.Equal(moveTime(s, r, time.Second, 4900*time.Millisecond), time.Duration(0)) // until its deadline
+}
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -169,6 +169,7 @@
 		s.observeOvertaken(now, r.Prefill, r.Dispatched, r.NominalFirst)
 		r.Prefill, r.Decode, r.Cached = r.HedgePrefill, r.HedgeDecode, r.HedgeCached
 		r.Dispatched, r.NominalFirst = r.HedgeAt, r.HedgeNominal
+		r.PromptSentAt, r.NextMove = 0, 0 // of the first attempt; the second one asks for no prompt only
 	} else {
 		s.observeOvertaken(now, r.HedgePrefill, r.HedgeAt, r.HedgeNominal)
 	}
