scheduler: no load remains of a second attempt beside a computed prompt

Cause: removeLoad takes PromptDone as that of the attempt that it removes, but it is the first attempt's. If that one's prompt was computed when the second attempt ended, the prompt of the second one stayed counted at its engine; if the second one won, its prompt stayed counted, too. Probes of excluded engines are such attempts.

Change: HedgeSettled uses PromptDone for the first attempt only.

--- a/scheduler/hedge_move_test.go
+++ b/scheduler/hedge_move_test.go
@@ -35,3 +35,24 @@
 	s.HedgeSettled(time.Second, r, true)
 	is.Equal(moveTime(s, r, time.Second, 4900*time.Millisecond), time.Duration(0)) // until its deadline
 }
+
+// Guards against prompts that stay counted at an engine: the prompt of the first attempt was computed when the second one started or ended.
+func TestHedgesBesideAComputedPromptLeaveNoLoad(t *testing.T) {
+	for _, won := range []bool{false, true} {
+		is := is.New(t)
+		s := newMovingScheduler(t)
+		r := offerHedged(is, s, time.Second)
+		for _, u := range s.Fleet().Upstreams {
+			changeRunning(u, &policy.Request{}, 1) // another request: without one, the sums are reset
+		}
+		s.PromptComputed(time.Second, r)
+		s.HedgeSettled(2*time.Second, r, won)
+		s.FirstToken(2*time.Second, r)
+		s.Finished(3*time.Second, r, policy.Completed)
+		for _, u := range s.Fleet().Upstreams {
+			is.Equal(u.OwnRunning, 1)
+			is.Equal(u.OwnPrefill, 0.0)
+			is.Equal(u.OwnHeld, 0.0)
+		}
+	}
+}
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -173,7 +173,11 @@
 	} else {
 		s.observeOvertaken(now, r.HedgePrefill, r.HedgeAt, r.HedgeNominal)
 	}
+	// PromptDone is of the first attempt: the second one reports no prompt.
+	promptDone := r.PromptDone
+	r.PromptDone = promptDone && won
 	s.removeLoad(r, loser)
+	r.PromptDone = promptDone && !won
 	r.HedgePrefill, r.HedgeDecode = policy.None, policy.None
 }
 
