catalog: a confirmation is as old as the store's answer behind it

Cause: a follower took each answer of its watcher as a confirmation of that moment, although the watcher's own may be up to 2.6 s old; a chain of peers added up further. A configuration event confirmed 100 ms after its answer, and a list at its end although it may show the state at its beginning.

Change: the state that VMs exchange has the age of the sender's confirmation (confirmed_age_ms; 0 from older processes). A confirmation ends the waiting calls of followers, so that theirs is not twice as old; it replaces the answer after two seconds, so that the number of calls stays. The store's answer counts from its receipt, that to a list from its call. The empty list of upstreams is left out of unchanged states.

TestFollowersReceiveChangesFromWatchers counts the bytes 100 ms later, with the same bound: it began in the instant of a confirmation, whose message may now come between the two changes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -114,9 +114,10 @@
 	unreachableSince map[string]time.Time // by kind: when the current outage was recorded
 	reachableSince   map[string]time.Time // by kind: when the last outage ended
 	unanswered       map[string]bool      // kinds whose last call the store left unanswered
-	confirmed        time.Time            // last answer of the store, or of a peer used in its place
+	confirmed        time.Time            // when the store last answered that the configuration here is its own
 	boot             uint64               // random identifier of this process; generations of two processes do not compare
-	generation       uint64               // number of the last change of the local state, for followers
+	generation       uint64               // number of the last change of the local state or confirmation, for followers
+	stateGeneration  uint64               // generation of the last change of the local state
 	tableGeneration  uint64               // generation at which table changed
 	plans            []byte               // stored plans for software versions, passed on to followers
 	plansRevision    uint64
@@ -198,8 +199,8 @@
 	return c.table
 }
 
-// Confirmed returns the time since the last answer of the store, or of a peer used in its place. ok is false before the first
-// answer.
+// Confirmed returns the time since the store last answered that the configuration here is its own, to this VM or to a peer that has told
+// it. ok is false before the first answer.
 func (c *Catalog) Confirmed() (age time.Duration, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -231,6 +232,7 @@
 		c.generation--
 		return
 	}
+	c.stateGeneration = c.generation
 	c.wakeFollowers()
 	upstreamsKnown.Set(float64(len(c.entries)))
 	s := c.state()
--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -37,14 +37,16 @@
 type stateMessage struct {
 	Revision uint64 `json:"revision"` // highest store revision of any kind
 	// UpstreamsRevision is the store revision of the list of upstreams; 0 from older processes.
-	UpstreamsRevision uint64          `json:"upstreams_revision,omitempty"`
-	Boot              uint64          `json:"boot"`
-	Generation        uint64          `json:"generation"`              // of the sender's state
-	Lost              bool            `json:"lost,omitempty"`          // the sender cannot reach the store
-	Unanswered        bool            `json:"unanswered,omitempty"`    // the store left the last call of the sender unanswered
-	Unchanged         bool            `json:"unchanged,omitempty"`     // nothing has changed; the upstreams are omitted
-	Configuration     json.RawMessage `json:"configuration,omitempty"` // omitted when unchanged
-	Upstreams         []entryMessage  `json:"upstreams"`               // all upstreams
+	UpstreamsRevision uint64 `json:"upstreams_revision,omitempty"`
+	Boot              uint64 `json:"boot"`
+	Generation        uint64 `json:"generation"`           // of the sender's state
+	Lost              bool   `json:"lost,omitempty"`       // the sender cannot reach the store
+	Unanswered        bool   `json:"unanswered,omitempty"` // the store left the last call of the sender unanswered
+	Unchanged         bool   `json:"unchanged,omitempty"`  // nothing has changed; the upstreams are omitted
+	// ConfirmedAgeMS is the age of the sender's confirmation, rounded up; below 0: it has none; 0 from older processes.
+	ConfirmedAgeMS int64           `json:"confirmed_age_ms,omitempty"`
+	Configuration  json.RawMessage `json:"configuration,omitempty"` // omitted when unchanged
+	Upstreams      []entryMessage  `json:"upstreams,omitempty"`     // all upstreams
 	// Plans for software versions, omitted when unchanged; see package versions.
 	Plans         json.RawMessage `json:"plans,omitempty"`
 	PlansRevision uint64          `json:"plans_revision,omitempty"`
@@ -67,7 +69,7 @@
 )
 
 // Export returns the store revision and the encoded state, without the values that have not changed since generation after. If
-// after is above 0, it waits up to maxExportWait for a change or until the store leaves a call unanswered.
+// after is above 0, it waits up to maxExportWait for a change or a confirmation, or until the store leaves a call unanswered.
 func (c *Catalog) Export(ctx context.Context, after uint64) (uint64, []byte, error) {
 	if after > 0 {
 		c.awaitChange(ctx, after)
@@ -79,7 +81,8 @@
 	}
 	x := stateMessage{
 		Revision: c.revision, UpstreamsRevision: c.listedRevision, Boot: c.boot, Generation: c.generation,
-		Lost: len(c.unreachableSince) > 0, Unanswered: len(c.unanswered) > 0, Unchanged: c.generation == after,
+		Lost: len(c.unreachableSince) > 0, Unanswered: len(c.unanswered) > 0, Unchanged: c.stateGeneration <= after,
+		ConfirmedAgeMS: c.confirmedAgeMS(),
 	}
 	if c.tableGeneration > after {
 		x.Configuration = c.rawTable
@@ -103,7 +106,7 @@
 		return
 	}
 	c.generation++
-	c.plans, c.plansRevision, c.plansGeneration = slices.Clone(value), revision, c.generation
+	c.plans, c.plansRevision, c.plansGeneration, c.stateGeneration = slices.Clone(value), revision, c.generation, c.generation
 	c.wakeFollowers()
 }
 
@@ -169,6 +172,7 @@
 // entries that are not known here.
 func (c *Catalog) adoptState(x *stateMessage, from string) (whole bool) {
 	whole = true
+	var received time.Time
 	c.update(func(now time.Time) bool {
 		changed := false
 		if len(x.Configuration) > 0 {
@@ -195,11 +199,12 @@
 		for _, k := range []string{c.opts.Kinds.Configuration, c.opts.Kinds.Upstreams} {
 			c.listed[k] = true
 		}
-		if !x.Lost && !x.Unanswered {
-			c.confirmed = now
-		}
+		received = now
 		return changed
 	})
+	if !x.Lost && !x.Unanswered && x.ConfirmedAgeMS >= 0 {
+		c.confirm(received.Add(-time.Duration(x.ConfirmedAgeMS) * time.Millisecond))
+	}
 	if !x.Lost {
 		c.opts.OnContact()
 	}
--- a/catalog/exchange_test.go
+++ b/catalog/exchange_test.go
@@ -74,7 +74,7 @@
 		time.Sleep(time.Second)
 		w := &fakeWatcher{watched: leader}
 		follower := run(follow(w, "w"))
-		time.Sleep(3 * time.Second)
+		time.Sleep(3100 * time.Millisecond) // the watcher's confirmation, every two seconds, is not among the changes that are counted
 		is.Equal(version(follower), uint64(1))
 		is.Equal(names(follower), "ab")
 
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -75,7 +75,10 @@
 		began := c.opts.Clock.Now()
 		if !listed {
 			from, err = listWithin(ctx, list, listTimeout)
-			listed = err == nil
+			if listed = err == nil; listed {
+				c.recordReachable(kind)
+				c.confirmKind(kind, began)
+			}
 		} else {
 			from, err = c.watch(ctx, kind, from, apply)
 			if errors.Is(err, store.ErrWatchGap) {
@@ -93,7 +96,6 @@
 		}
 		if err == nil {
 			failures = 0
-			c.recordReachable(kind)
 			continue
 		}
 		failures++
@@ -156,8 +158,10 @@
 	if err != nil {
 		return from, err
 	}
+	answered := c.opts.Clock.Now()
 	c.recordReachable(kind)
 	if len(events) == 0 {
+		c.confirmKind(kind, answered)
 		return max(next, from), nil
 	}
 	err = c.updateFromStore(kind, func(now time.Time) bool {
@@ -174,6 +178,7 @@
 	if err != nil {
 		return from, err
 	}
+	c.confirmKind(kind, answered)
 	_ = c.opts.Clock.Sleep(ctx, settleDelay) // watchKind checks whether ctx has ended
 	return max(next, from), nil
 }
@@ -261,9 +266,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.opts.Clock.Now()
-	if kind == c.opts.Kinds.Configuration {
-		c.confirmed = now
-	}
 	delete(c.unanswered, kind)
 	if since, ok := c.unreachableSince[kind]; ok {
 		delete(c.unreachableSince, kind)
@@ -272,6 +274,34 @@
 	}
 }
 
+// confirmKind records that the state of a kind here is that of the store at a time. Only the configuration is confirmed.
+func (c *Catalog) confirmKind(kind string, at time.Time) {
+	if kind == c.opts.Kinds.Configuration {
+		c.confirm(at)
+	}
+}
+
+// confirm records that the configuration here is that of the store at a time, and tells the followers: if they learned of it with the next
+// change or after maxExportWait only, their confirmation would be up to twice as old as that of this VM.
+func (c *Catalog) confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !at.After(c.confirmed) {
+		return
+	}
+	c.confirmed = at
+	c.generation++
+	c.wakeFollowers()
+}
+
+// confirmedAgeMS returns the age of the confirmation, rounded up, or -1 if there is none. The lock must be held.
+func (c *Catalog) confirmedAgeMS() int64 {
+	if c.confirmed.IsZero() {
+		return -1
+	}
+	return (c.opts.Clock.Now().Sub(c.confirmed) + time.Millisecond - 1).Milliseconds()
+}
+
 // recordUnanswered records that the store has left a call for a kind unanswered, so that followers switch to another watcher.
 func (c *Catalog) recordUnanswered(kind string) {
 	c.mu.Lock()
