edge: derive the time to live of a confirmation from config_ms

Cause: a confirmation counted for 4 s, but a configuration has to be in force within config_ms (3 s). For the last second, a VM that the store had left unanswered gave 404 and 401 by a configuration that was replaced.

Change: the time to live is config_ms less 150 ms, at least the longest time between two confirmations of a VM whose connection to the store has failed once (2.85 s), and at most 4 s as before, which stays without config_ms. The configuration stays in force while the store is unreachable.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -321,12 +321,9 @@
 	partRebroadcastLimit = 6
 )
 
-// confirmationTTL is how long a confirmation of the configuration counts. The store answers a watch every two seconds.
-const confirmationTTL = 4 * time.Second
-
 func (e *Edge) configurationConfirmed() bool {
 	age, ok := e.catalog.Confirmed()
-	return ok && age < confirmationTTL
+	return ok && age < confirmationTTL(e.settings.Bounds.Configuration)
 }
 
 func (e *Edge) buildLoads() error {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -73,3 +74,17 @@
 		}
 	}
 }
+
+// Guards against a VM that decides by a configuration which the store replaced longer ago than the settings allow, and against one
+// without faults that counts as unconfirmed between two answers of the store.
+func TestConfirmationsCountWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	const bound = 3 * time.Second // of the deployments with accounts
+	is.True(confirmationTTL(bound) < bound)
+	for _, bound := range []time.Duration{0, time.Second, 2 * time.Second, bound, time.Minute} {
+		is.True(confirmationTTL(bound) >= minConfirmationTTL)
+	}
+	is.True(minConfirmationTTL >= 2850*time.Millisecond) // of catalog: TestHealthyVMsStayConfirmed
+	is.Equal(confirmationTTL(0), defaultConfirmationTTL)
+	is.Equal(confirmationTTL(time.Minute), defaultConfirmationTTL)
+}
