scheduler: a move counts what its request holds as free

Cause: moveOverduePrompt asked the router for another engine while the request still held its decode permit and its place. With the last permit of a limited decoder, or the last place at the only decoder, it held what the move would have given back, and stayed at the silent engine until its deadline.

Change: the search releases the decode permit and the load at the decoder before it asks the router, and takes them back. The prompt stays counted, since the router would otherwise let the other engine fetch its pieces.

Result: TestAMoveKeepsWhatItsRequestHolds failed before in both cases (no move within a second).

--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -281,6 +281,15 @@
 	}
 }
 
+// retakeDecodePermit takes back a permit that releaseDecodePermit has just made available.
+func (s *Scheduler) retakeDecodePermit(r *policy.Request) {
+	u := s.fleet.Upstreams[r.Decode]
+	if st := s.limits[u.Hash]; st != nil && u.Limited {
+		st.take()
+		r.DecodePermit = true
+	}
+}
+
 // recordMissed counts a request that would have gone to a limited upstream if a permit had been at hand.
 func (s *Scheduler) recordMissed(now time.Duration, c policy.Choice) {
 	if c.WithPermit == nil {
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -90,10 +90,14 @@
 	if r.FirstAt == 0 && !r.PromptDone {
 		s.removePrefillLoad(r, a)
 	}
-	d := s.fleet.Upstreams[a.decode]
-	changeRunning(d, r, -1)
-	d.OwnRemaining = max(d.OwnRemaining-remaining(r), 0)
-	d.OwnHeld = max(d.OwnHeld-held(r), 0)
+	changeDecodeLoad(s.fleet.Upstreams[a.decode], r, -1)
+}
+
+// changeDecodeLoad adds or removes (n is 1 or -1) what r takes up where its output is generated.
+func changeDecodeLoad(d *policy.Upstream, r *policy.Request, n int) {
+	changeRunning(d, r, n)
+	d.OwnRemaining = max(d.OwnRemaining+float64(n)*remaining(r), 0)
+	d.OwnHeld = max(d.OwnHeld+float64(n)*held(r), 0)
 	clearRoundingErrors(d)
 }
 
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -109,7 +109,7 @@
 	}
 	avoid, avoidDecode := r.Avoid, r.AvoidDecode
 	r.Avoid, r.AvoidDecode = silent, policy.None
-	c := s.opts.Router.Route(now, r, &s.fleet)
+	c := s.routeWithoutHolding(now, r)
 	if c.Prefill == policy.None || c.Prefill == silent || s.shouldWait(r, c) || now+c.FirstToken >= r.GiveUpAt() || !s.allowPromptCall(now, r) {
 		r.Avoid, r.AvoidDecode = avoid, avoidDecode
 		return false
@@ -125,6 +125,20 @@
 	return true
 }
 
+// routeWithoutHolding routes r, whose prompt is being computed, as if it held no permit and no place at its decoder: a move gives these
+// back, and they may be the only ones. Its prompt stays counted, since the pieces of an overdue prompt can't be fetched.
+func (s *Scheduler) routeWithoutHolding(now time.Duration, r *policy.Request) policy.Choice {
+	permit, decoder := r.DecodePermit, s.fleet.Upstreams[r.Decode]
+	s.releaseDecodePermit(now, r)
+	changeDecodeLoad(decoder, r, -1)
+	c := s.opts.Router.Route(now, r, &s.fleet)
+	changeDecodeLoad(decoder, r, 1)
+	if permit {
+		s.retakeDecodePermit(r)
+	}
+	return c
+}
+
 func (s *Scheduler) answeredAtOf(i int) time.Duration {
 	if i < len(s.answeredAt) {
 		return s.answeredAt[i]
--- a/scheduler/overdue_test.go
+++ b/scheduler/overdue_test.go
@@ -103,3 +103,37 @@
 		})
 	}
 }
+
+// Guards against a request that stays at a silent engine because it holds what it needs elsewhere itself: the last permit of a decoder, or
+// the last place there.
+func TestAMoveKeepsWhatItsRequestHolds(t *testing.T) {
+	for name, prepare := range map[string]func(s *Scheduler){
+		"permit": func(s *Scheduler) {
+			for _, name := range []string{"d1", "d2", "d3"} {
+				s.AnswerLimit(0, name, true, 0.5, 0)
+			}
+			s.grantByName(time.Second, "d1", 1)
+		},
+		"place": func(s *Scheduler) {
+			for _, u := range s.Fleet().Upstreams[2:] {
+				u.Accepting = u.Spec.Name == "d1"
+				u.OwnRunning = u.Spec.MaxBatch - 1
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newMovingScheduler(t)
+			prepare(s)
+			r, _ := offerOverdue(is, s, time.Second, 1)
+			permits, running := s.permitsOf("d1"), s.Fleet().Upstreams[r.Decode].OwnRunning
+			is.Equal(s.Fleet().Upstreams[r.Decode].Spec.Name, "d1")
+			s.Tick(1200 * time.Millisecond) // too early
+			is.Equal(s.permitsOf("d1"), permits)
+			is.True(moveTime(s, r, time.Second, 2*time.Second) > 0)
+			is.Equal(s.permitsOf("d1"), permits)
+			is.Equal(s.Fleet().Upstreams[r.Decode].OwnRunning, running)
+			is.Equal(s.Fleet().Upstreams[r.Decode].Spec.Name, "d1")
+		})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -244,13 +244,8 @@
 		return decode
 	}
 	old, next := s.fleet.Upstreams[r.Decode], s.fleet.Upstreams[decode]
-	changeRunning(old, r, -1)
-	old.OwnRemaining = max(old.OwnRemaining-remaining(r), 0)
-	old.OwnHeld = max(old.OwnHeld-held(r), 0)
-	clearRoundingErrors(old)
-	changeRunning(next, r, 1)
-	next.OwnRemaining += remaining(r)
-	next.OwnHeld += held(r)
+	changeDecodeLoad(old, r, -1)
+	changeDecodeLoad(next, r, 1)
 	r.Decode = decode
 	return decode
 }
