scheduler: a moved prompt fetches nothing from the engine that it leaves

Cause: the source of a fetch is dropped if the engine is excluded, but at most a third of a set is excluded for silence. With more silent engines, a moved prompt could wait for pieces of the engine that has not answered.

Change: a move drops the silent engine as the source.

--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -114,6 +114,9 @@
 		r.Avoid, r.AvoidDecode = avoid, avoidDecode
 		return false
 	}
+	if !busy && c.Source != nil && c.Source.Index == silent {
+		c.Source = nil // recordDispatch leaves out excluded engines only, and not every silent one is excluded
+	}
 	if busy { // a silent engine has no speed, and would lower the one that is assumed of the others
 		s.learnPromptTime(now, r, false)
 	}
--- a/scheduler/overdue_test.go
+++ b/scheduler/overdue_test.go
@@ -10,6 +10,47 @@
 	"bergamotcroft.example/bergamot/policy/retry"
 )
 
+// fetchingRouter is a router whose choices fetch pieces from an engine, and which counts the choices made while that engine's pieces of the
+// request count as computed.
+type fetchingRouter struct {
+	policy.Router
+	source   int // policy.None: unchanged
+	computed int
+}
+
+func (f *fetchingRouter) Route(now time.Duration, r *policy.Request, fleet *policy.Fleet) policy.Choice {
+	c := f.Router.Route(now, r, fleet)
+	if f.source != policy.None {
+		c.Source = fleet.Upstreams[f.source]
+		if fleet.Upstreams[f.source].Computing[r.Prefix[0]] == 0 {
+			f.computed++
+		}
+	}
+	return c
+}
+
+// Guards against a moved prompt that waits for pieces of the silent engine: those that it was to compute itself, or others.
+func TestAMoveFetchesNothingFromTheSilentEngine(t *testing.T) {
+	is := is.New(t)
+	s := newMovingScheduler(t)
+	s.silence = nil // of several silent engines, some are not excluded
+	router := &fetchingRouter{Router: s.opts.Router, source: policy.None}
+	s.opts.Router = router
+	r := sharedPrefixRequest(1, 7, 17000)
+	is.Equal(len(s.Offer(time.Second, r)), 1)
+	s.PromptSent(time.Second, r)
+	router.source = r.Prefill
+	for now := time.Second; now < 8*time.Second; now += 20 * time.Millisecond {
+		if a := s.Tick(now); len(a) == 2 {
+			is.Equal(a[1].Kind, Dispatch)
+			is.True(a[1].Source == nil)
+			is.Equal(router.computed, 0)
+			return
+		}
+	}
+	is.Fail() // not moved
+}
+
 // offerOverdue offers a request that may not be repeated and reports its prompt as sent to the engine that it returns.
 func offerOverdue(is *is.I, s *Scheduler, now time.Duration, id uint64) (*policy.Request, int) {
 	r := &policy.Request{
