scheduler, gateway: a second attempt that is not started is forgotten

Cause: if the gateway does not start a hedge (no permit of the quarantine, or the first attempt has not begun, as with a probe that is ordered with the dispatch), the scheduler held it as running until the first attempt ended. Its load stayed at the other engine, it counted as an attempt, and an overdue prompt beside it was not moved.

Change: startHedge reports whether the hedge has started. If not, the loop calls HedgeNotStarted, which removes it; the current attempt gets no other one.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -56,20 +56,20 @@
 func Preempted(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errPreempted) }
 
 // startHedge starts a second attempt beside the current one, unless the current one has ended or the quarantine gives no
-// permit. It must not block, since the loop's goroutine calls it.
-func (g *Gateway) startHedge(f *inFlight, act action) {
+// permit. It reports whether it has, and must not block, since the loop's goroutine calls it.
+func (g *Gateway) startHedge(f *inFlight, act action) (started bool) {
 	if !f.idempotent {
-		return
+		return false
 	}
 	permit, ok := g.opts.Quarantine.TryBegin(f.fingerprint)
 	if !ok {
-		return
+		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed || f.winner != (attemptID{}) || f.hedge != nil || f.hedgesEnded || f.openAttempts == 0 || f.attemptNumber != act.attempt {
 		permit.End(quarantine.Result{})
-		return
+		return false
 	}
 	ctx, cancel := context.WithCancelCause(f.ctx)
 	h := &hedge{cancel: cancel, done: make(chan error, 1)}
@@ -90,6 +90,7 @@
 		}
 		h.done <- err
 	}()
+	return true
 }
 
 // joinHedge waits for the hedge of an attempt that ended with err, and returns the combined result of the two. After a crash it
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -146,3 +146,24 @@
 	g.startHedge(f, act)
 	is.True(f.hedge == nil)
 }
+
+// Guards against a second attempt that has not begun and yet counts: it kept a place at its engine and the request from being moved, until
+// the first attempt ended. Probes are such attempts if their request, which has just been dispatched, has not begun.
+func TestAHedgeThatIsNotStartedIsForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(t, "e0", "e1")
+	now, calls := time.Second, 0
+	l := newLoop(s, 8, func() time.Duration { return now }, func(*inFlight, action) bool { calls++; return false })
+	l.metrics = newMetricSet(1)
+	f := newInFlight(1)
+	f.req = policy.Request{ID: 1, Model: "m@1", Arrival: now, Deadline: time.Minute, PromptTokens: 100, MaxOutput: 1, Idempotent: true}
+	l.handle(event{kind: evOffer, request: f})
+	is.Equal(f.current, 1)
+	for ; now < 3*time.Second; now += 20 * time.Millisecond {
+		l.handle(event{kind: evTick})
+	}
+	is.Equal(calls, 1)
+	is.Equal(f.req.HedgePrefill, policy.None)
+	is.Equal(f.req.Attempts, 1)
+	is.Equal(s.Fleet().Upstreams[0].OwnRunning+s.Fleet().Upstreams[1].OwnRunning, 1)
+}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -60,17 +60,18 @@
 	sched      *scheduler.Scheduler
 	ring       *ring.Ring[event]
 	now        func() time.Duration
-	startHedge func(f *inFlight, act action)
+	startHedge func(f *inFlight, act action) (started bool)
 	inFlight   map[uint64]*inFlight
 	metrics    *metricSet
 	exclusions *exclusions
 	orphans    []*policy.Request // dispatched or preempted, but no longer in flight
+	unstarted  []event           // hedges that have not been started, with the attempt that they belong to
 	queued     atomic.Int64
 	running    atomic.Int64
 	limited    atomic.Bool // an upstream is limited
 }
 
-func newLoop(s *scheduler.Scheduler, size int, now func() time.Duration, startHedge func(*inFlight, action)) *loop {
+func newLoop(s *scheduler.Scheduler, size int, now func() time.Duration, startHedge func(*inFlight, action) bool) *loop {
 	return &loop{sched: s, ring: ring.New[event](size), now: now, startHedge: startHedge, inFlight: map[uint64]*inFlight{}}
 }
 
@@ -171,6 +172,7 @@
 	case evCall:
 		e.do(now, l.sched)
 	}
+	l.dropUnstarted()
 	l.dropOrphans(now)
 }
 
@@ -245,9 +247,9 @@
 			f.moves++
 		}
 	case scheduler.Hedge:
-		// If the hedge does not start, the scheduler still holds it as running until the current attempt ends. If it were
-		// settled at once, the next tick would start another, and each one counts as an attempt of the request.
-		l.startHedge(f, act)
+		if !l.startHedge(f, act) {
+			l.unstarted = append(l.unstarted, event{request: f, attempt: act.attempt})
+		}
 	case scheduler.Refuse:
 		if f.idempotent { // a call that must not be repeated is not cancelled once sent, so that its outcome is known
 			f.preempt(f.current)
@@ -258,6 +260,16 @@
 	}
 }
 
+// dropUnstarted tells the scheduler which hedges have not been started.
+func (l *loop) dropUnstarted() {
+	for _, e := range l.unstarted {
+		if e.request.current == e.attempt {
+			l.sched.HedgeNotStarted(&e.request.req)
+		}
+	}
+	l.unstarted = l.unstarted[:0]
+}
+
 // dropOrphans cancels, in the scheduler, the requests that are no longer in flight.
 func (l *loop) dropOrphans(now time.Duration) {
 	for len(l.orphans) > 0 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,27 +85,28 @@
 	AvoidDecode int // decoder of the last failed attempt, or None
 
 	// Set at dispatch.
-	Cached         int           // leading pieces expected to be cached at Prefill, or fetched from another engine
-	Backlog        float64       // prompt tokens that Prefill was expected to compute before this request
-	ComputingAt    *Upstream     // upstream whose Computing counts the request, or nil
-	PromptSentAt   time.Duration // the call for the prompt only was sent to Prefill, which has not run the request; 0: not sent
-	NextMove       time.Duration // the call for the prompt only is not abandoned earlier
-	PromptDone     bool          // Prefill has computed the prompt; the first token may still be missing
-	FairTag        float64       // virtual start time among the classes that wait for limited upstreams, set when it is queued
-	DecodePermit   bool          // a permit for Decode, another upstream than Prefill, is reserved until PromptDone
-	PossibleRuns   int           // attempts that may have run
-	UnsentAttempts int           // attempts that failed before anything was sent
-	ExpectedFirst  time.Duration // time to the first token, from dispatch
-	ExpectedFinish time.Duration // time to the whole answer, from dispatch
-	NominalFirst   time.Duration // ExpectedFirst at an upstream of normal speed
-	Resumed        int           // output tokens of earlier attempts, computed again as part of the prompt
-	OverdueCount   int           // number of times that the attempt was reported as late
-	HedgePrefill   int           // upstream of a second attempt, or None
-	HedgeDecode    int
-	HedgeCached    int
-	HedgeAt        time.Duration
-	HedgeNominal   time.Duration // NominalFirst of the second attempt
-	SpillReason    SpillReason   // reason for the last choice of another data centre
+	Cached          int           // leading pieces expected to be cached at Prefill, or fetched from another engine
+	Backlog         float64       // prompt tokens that Prefill was expected to compute before this request
+	ComputingAt     *Upstream     // upstream whose Computing counts the request, or nil
+	PromptSentAt    time.Duration // the call for the prompt only was sent to Prefill, which has not run the request; 0: not sent
+	NextMove        time.Duration // the call for the prompt only is not abandoned earlier
+	PromptDone      bool          // Prefill has computed the prompt; the first token may still be missing
+	FairTag         float64       // virtual start time among the classes that wait for limited upstreams, set when it is queued
+	DecodePermit    bool          // a permit for Decode, another upstream than Prefill, is reserved until PromptDone
+	PossibleRuns    int           // attempts that may have run
+	UnsentAttempts  int           // attempts that failed before anything was sent
+	ExpectedFirst   time.Duration // time to the first token, from dispatch
+	ExpectedFinish  time.Duration // time to the whole answer, from dispatch
+	NominalFirst    time.Duration // ExpectedFirst at an upstream of normal speed
+	Resumed         int           // output tokens of earlier attempts, computed again as part of the prompt
+	OverdueCount    int           // number of times that the attempt was reported as late
+	HedgePrefill    int           // upstream of a second attempt, or None
+	HedgeDecode     int
+	HedgeCached     int
+	HedgeAt         time.Duration
+	HedgeNominal    time.Duration // NominalFirst of the second attempt
+	HedgeNotStarted bool          // the driver has not started a second attempt, and none follows in this attempt
+	SpillReason     SpillReason   // reason for the last choice of another data centre
 
 	// Set by the admitter on first admission.
 	Tagged bool
--- a/scheduler/hedge_move_test.go
+++ b/scheduler/hedge_move_test.go
@@ -56,3 +56,14 @@
 		}
 	}
 }
+
+// Guards against a prompt that stays at a silent engine because of a second attempt that has not been started, such as a probe of another
+// engine: it is ordered with the dispatch of the request, whose first attempt may not have begun.
+func TestAPromptBesideAHedgeThatIsNotStartedIsMoved(t *testing.T) {
+	is := is.New(t)
+	s := newMovingScheduler(t)
+	r := offerHedged(is, s, time.Second)
+	s.HedgeNotStarted(r)
+	is.Equal(r.Attempts, 1)
+	is.True(moveTime(s, r, time.Second, 3*time.Second) > 0)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -175,7 +175,7 @@
 	r.Dispatched = now + delay
 	r.ExpectedFirst, r.ExpectedFinish = c.FirstToken, c.Finish
 	r.NominalFirst = time.Duration(float64(c.FirstToken) / max(s.opts.Health.Factor(c.Prefill), 1))
-	r.FirstAt, r.OverdueCount, r.Resumed, r.PromptSentAt = 0, 0, r.Generated, 0
+	r.FirstAt, r.OverdueCount, r.Resumed, r.PromptSentAt, r.HedgeNotStarted = 0, 0, r.Generated, 0, false
 	r.Attempts++
 	r.Split = c.Decode != c.Prefill
 	if s.ranker != nil {
--- a/scheduler/watch.go
+++ b/scheduler/watch.go
@@ -89,7 +89,7 @@
 
 // tryHedge starts a second attempt of a late idempotent request if another upstream can take it at once.
 func (s *Scheduler) tryHedge(now time.Duration, r *policy.Request) {
-	if !r.Idempotent || r.HedgePrefill != policy.None || r.Crashes > 0 {
+	if !r.Idempotent || r.HedgePrefill != policy.None || r.HedgeNotStarted || r.Crashes > 0 {
 		return // a suspect runs at one upstream at a time
 	}
 	after := s.opts.Retry.Hedge(now, r)
@@ -181,6 +181,20 @@
 	r.HedgePrefill, r.HedgeDecode = policy.None, policy.None
 }
 
+// HedgeNotStarted records that the driver has not started r's second attempt. The current attempt gets no other one: each would be charged
+// to the retry budget, and would most likely not be started either.
+func (s *Scheduler) HedgeNotStarted(r *policy.Request) {
+	if !s.inFlight(r) || r.HedgePrefill == policy.None {
+		return
+	}
+	promptDone := r.PromptDone
+	r.PromptDone = false // that of the first attempt
+	s.removeLoad(r, hedgeAttempt(r))
+	r.PromptDone = promptDone
+	r.HedgePrefill, r.HedgeDecode, r.HedgeNotStarted = policy.None, policy.None, true
+	r.Attempts--
+}
+
 // HedgeFailed records that one of the two attempts of r has failed, the second one if hedge is set, while the other
 // continues. The driver calls it instead of HedgeSettled, so that a crash is counted although no retry follows.
 func (s *Scheduler) HedgeFailed(now time.Duration, r *policy.Request, hedge bool, o policy.Outcome) {
