forward: an answer that is no stream wins before it is the caller's

Cause: attemptBuffered claims the request's output before its answer is the caller's, takeNonStreamAnswer did not. If a second attempt of a stream ended with an answer that is no stream, the first one went on and its stream was relayed, and the other answer was written behind it. Two attempts could also write x.answer at the same time.

Change: takeNonStreamAnswer claims the output, too.

Result: TestAnAnswerWithoutAStreamWinsOrLoses failed before: the caller got status 200, the five events of the stream and the text of the 404 behind them, and net/http logged a superfluous WriteHeader.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -326,6 +326,9 @@
 		}
 		return &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.UpstreamFailed, Cause: errServerError}
 	}
+	if !p.Win() {
+		return errOtherAttemptWon
+	}
 	x.answer = got
 	return nil
 }
