--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// TracksAnswers reports whether UpstreamAnswered has an effect.
+func (s *Scheduler) TracksAnswers() bool { return s.silence != nil }
+
+// UpstreamAnswered records that the named upstream has answered a call in any way: a rejection also shows that it is not silent.
+func (s *Scheduler) UpstreamAnswered(now time.Duration, name string) {
+	if i, ok := s.byName[name]; ok {
+		s.answered(now, i)
+	}
+}
+
 // answered records an answer of upstream i.
 func (s *Scheduler) answered(now time.Duration, i int) {
 	if s.silence == nil {
@@ -99,22 +109,39 @@
 	}
 	avoid, avoidDecode := r.Avoid, r.AvoidDecode
 	r.Avoid, r.AvoidDecode = silent, policy.None
-	c := s.opts.Router.Route(now, r, &s.fleet)
+	c := s.routeWithoutHolding(now, r)
 	if c.Prefill == policy.None || c.Prefill == silent || s.shouldWait(r, c) || now+c.FirstToken >= r.GiveUpAt() || !s.allowPromptCall(now, r) {
 		r.Avoid, r.AvoidDecode = avoid, avoidDecode
 		return false
 	}
+	if !busy && c.Source != nil && c.Source.Index == silent {
+		c.Source = nil // recordDispatch leaves out excluded engines only, and not every silent one is excluded
+	}
 	if busy { // a silent engine has no speed, and would lower the one that is assumed of the others
 		s.learnPromptTime(now, r, false)
 	}
 	s.releaseDecodePermit(now, r)
 	s.removeLoad(r, currentAttempt(r))
 	s.removeInFlight(r)
-	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: silent, Decode: r.Decode})
+	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: silent, Decode: r.Decode, Moved: true})
 	s.dispatch(now, r, c, 0)
 	return true
 }
 
+// routeWithoutHolding routes r, whose prompt is being computed, as if it held no permit and no place at its decoder: a move gives these
+// back, and they may be the only ones. Its prompt stays counted, since the pieces of an overdue prompt can't be fetched.
+func (s *Scheduler) routeWithoutHolding(now time.Duration, r *policy.Request) policy.Choice {
+	permit, decoder := r.DecodePermit, s.fleet.Upstreams[r.Decode]
+	s.releaseDecodePermit(now, r)
+	changeDecodeLoad(decoder, r, -1)
+	c := s.opts.Router.Route(now, r, &s.fleet)
+	changeDecodeLoad(decoder, r, 1)
+	if permit {
+		s.retakeDecodePermit(r)
+	}
+	return c
+}
+
 func (s *Scheduler) answeredAtOf(i int) time.Duration {
 	if i < len(s.answeredAt) {
 		return s.answeredAt[i]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -175,7 +175,7 @@
 	r.Dispatched = now + delay
 	r.ExpectedFirst, r.ExpectedFinish = c.FirstToken, c.Finish
 	r.NominalFirst = time.Duration(float64(c.FirstToken) / max(s.opts.Health.Factor(c.Prefill), 1))
-	r.FirstAt, r.OverdueCount, r.Resumed, r.PromptSentAt = 0, 0, r.Generated, 0
+	r.FirstAt, r.OverdueCount, r.Resumed, r.PromptSentAt, r.HedgeNotStarted = 0, 0, r.Generated, 0, false
 	r.Attempts++
 	r.Split = c.Decode != c.Prefill
 	if s.ranker != nil {
@@ -244,13 +244,8 @@
 		return decode
 	}
 	old, next := s.fleet.Upstreams[r.Decode], s.fleet.Upstreams[decode]
-	changeRunning(old, r, -1)
-	old.OwnRemaining = max(old.OwnRemaining-remaining(r), 0)
-	old.OwnHeld = max(old.OwnHeld-held(r), 0)
-	clearRoundingErrors(old)
-	changeRunning(next, r, 1)
-	next.OwnRemaining += remaining(r)
-	next.OwnHeld += held(r)
+	changeDecodeLoad(old, r, -1)
+	changeDecodeLoad(next, r, 1)
 	r.Decode = decode
 	return decode
 }
