scaling: servers that leave for an earlier order are no reclaim

Cause: a look compared the servers with the last figure only. Servers that an earlier, lower figure takes away state that they leave after the next, higher one was sent (accepted or unanswered), or after a successor has taken over, and looked like a reclaim: no orders there for 8.5 s, and all servers counted as lost. Change: the figures that were sent within a start-up time and 3 s count, the lowest of them as what may remain. What leaves at the first look of a new holder is a reclaim only if none remains. Result: TestAReductionIsNoReclaim failed before with 0 serving and 12 leaving in place of 8 and 4, for each case.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -39,12 +39,15 @@
 		d := &x.DataCentres[i]
 		for kind := range d.Kinds {
 			r, k := &d.Kinds[kind], &c.subject(x.Name, d.Name).kinds[kind]
-			// Servers that an order takes away may state a time too; then at least as many as ordered remain.
-			ordered := k.known && r.Serving+r.Settling >= k.ordered
+			// Servers that an order takes away may state a time too; then at least as many as ordered remain. A new holder knows only
+			// the last figure of its predecessor, so that what leaves at its first look is a reclaim only if none remains.
+			present := r.Serving + r.Settling
+			ordered := k.known && (present >= k.lowest(now, x.Startup) || !k.seen && present > 0)
+			k.seen = true
 			if n := r.Reclaimed; n > k.reclaimed && !ordered {
 				k.orderedAt = time.Time{} // what was ordered there does not start any more
 				k.unavailable = now.Add(reclaimPause)
-				if n*reclaimNotices >= n+r.Serving+r.Settling {
+				if n*reclaimNotices >= n+present {
 					k.reclaimedUntil = now.Add(reclaimTime)
 				}
 				s.plannedAt = time.Time{}
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -144,13 +145,40 @@
 	isRecorded  bool      // the record has a figure
 	ordered     int       // last figure that was accepted, or that may have been carried out
 	known       bool      // there is such a figure
-	orderedAt   time.Time // when it was sent last
+	orderedAt   time.Time // when it was sent last; zero: the servers that it added are not counted on
+	earlier     []figure  // the figures before it that may still be carried out
+	seen        bool      // the servers have been looked at under this lease
 	unavailable time.Time // until then no more are to be had
 	reclaimed   int       // servers that the platform took away, at the last look
 	// reclaimedUntil is the time until which all servers there count as leaving.
 	reclaimedUntil time.Time
 }
 
+// figure is a number of servers that was ordered until a time.
+type figure struct {
+	desired int
+	until   time.Time
+}
+
+// order records a figure that was sent and was accepted, or may be carried out.
+func (k *kindState) order(now time.Time, desired int) {
+	if k.known && k.ordered != desired {
+		k.earlier = append(k.earlier, figure{k.ordered, now})
+	}
+	k.ordered, k.known, k.orderedAt = desired, true, now
+}
+
+// lowest returns the lowest figure that the servers may follow now. The servers that an earlier figure takes away may state that they
+// leave only after the next figure was sent.
+func (k *kindState) lowest(now time.Time, startup time.Duration) int {
+	k.earlier = slices.DeleteFunc(k.earlier, func(f figure) bool { return now.Sub(f.until) >= startup+startMargin })
+	n := k.ordered
+	for _, f := range k.earlier {
+		n = min(n, f.desired)
+	}
+	return n
+}
+
 // New returns a Controller.
 func New(o Options) *Controller {
 	if o.Log == nil {
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -209,6 +210,44 @@
 	is.Equal(len(w.sent), 0) // for the data centre itself
 }
 
+// Guards against a reclaim that is seen where servers leave for an earlier, lower figure: it would stop all orders there. Once more
+// leave, it is one.
+func TestAReductionIsNoReclaim(t *testing.T) {
+	lost := errors.New("no answer")
+	check := func(is *is.I, w *fixture, c *Controller) {
+		pre, k := &w.service.DataCentres[0].Kinds[policy.Preemptible], &policy.Servers{}
+		look := func(r Registered) {
+			*pre = r
+			w.runFor(c, settleTime+2*sampleInterval)
+			*k = w.scaler.state.DataCentres[0].Kinds[policy.Preemptible]
+		}
+		look(Registered{Serving: 8, Leaving: 4, Reclaimed: 4})
+		is.Equal([]int{k.Serving, k.Leaving, int(k.UnavailableUntil)}, []int{8, 4, 0})
+		look(Registered{Serving: 7, Leaving: 5, Reclaimed: 5})
+		is.Equal([]int{k.Serving, k.Leaving}, []int{0, 12})
+		is.True(k.UnavailableUntil > 0)
+	}
+	for _, answers := range [][2]error{{}, {lost}, {nil, lost}} { // of the reduction, and of the order after it
+		is := is.New(t)
+		w := newFixture()
+		w.service.DataCentres[0].Kinds[policy.Preemptible].Serving = 12
+		w.scaler.desired = policy.ServerCounts{{5, 8}, {5, 0}}
+		w.answers["a/preemptible=8"], w.answers["a/preemptible=12"] = answers[0], answers[1]
+		w.runFor(w.c, settleTime+sampleInterval)
+		delete(w.answers, "a/preemptible=8")
+		w.scaler.desired = policy.ServerCounts{{5, 12}, {5, 0}}
+		w.runFor(w.c, time.Second)
+		is.True(slices.Contains(w.sent, "a/preemptible=12"))
+		check(is, w, w.c)
+	}
+	w := newFixture() // a successor knows only the later figure
+	w.service.DataCentres[0].Kinds[policy.Preemptible].Serving = 8
+	w.scaler.desired = policy.ServerCounts{{5, 12}, {5, 0}}
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.lease.token.Fencing, w.lease.token.Since = 2, w.clock.now.Add(-time.Minute)
+	check(is.New(t), w, w.controller())
+}
+
 // Guards against two figures of two holders for one subject: the successor repeats what its predecessor may have sent, and waits
 // until nothing of it can arrive. A holder that was suspended sends nothing.
 func TestAChangeOfHolder(t *testing.T) {
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -129,7 +129,7 @@
 		answer := "accepted"
 		switch {
 		case err == nil:
-			k.ordered, k.known, k.orderedAt = o.Desired, true, now
+			k.order(now, o.Desired)
 		case errors.Is(err, ErrNoServers):
 			answer = "no_servers"
 			k.unavailable = laterOf(k.unavailable, now.Add(noServersPause))
@@ -140,7 +140,7 @@
 			k.unavailable = laterOf(k.unavailable, now.Add(rejectedPause))
 		default:
 			answer, failed = "unknown", true
-			k.ordered, k.known, k.orderedAt = o.Desired, true, now
+			k.order(now, o.Desired)
 			if !repeated {
 				s.repeat = append(s.repeat, o)
 			}
