scaling: orders of both kinds stay within the maximum of a data centre

Cause: an addition went ahead of the removal of the other kind, and the decision knows only servers that serve or start. With 15 ordered, 11 registered and a maximum of 20, 9 of the other kind were ordered while 15 were in force. Change: an addition goes only as far as the other kind's servers and its last figure leave room; the rest follows the removal.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -79,6 +79,25 @@
 	return max(k.ordered-registered, 0)
 }
 
+// inForce returns the highest number of servers that there may be by the orders, of which some are registered.
+func (k *kindState) inForce(registered int) int {
+	if !k.known || k.orderedAt.IsZero() {
+		return registered
+	}
+	return max(k.ordered, registered)
+}
+
+// room returns how many servers of a kind may be ordered in a data centre while those of the other kind are there or may come.
+func (c *Controller) room(x *Service, d *DataCentre, kind policy.ServerKind) int {
+	room := x.Max
+	for other := range policy.ServerKinds {
+		if r := &d.Kinds[other]; other != kind {
+			room -= c.kind(Order{x.Name, d.Name, other, 0}).inForce(r.Serving + r.Settling)
+		}
+	}
+	return room
+}
+
 // plan returns the orders that lead to the scaler's decision, additions first.
 func (c *Controller) plan(now time.Time, x *Service) []Order {
 	s := c.services[x.Name]
@@ -115,6 +134,12 @@
 		for kind, desired := range s.plan.Desired[i] {
 			o := Order{x.Name, d.DataCentre, policy.ServerKind(kind), desired}
 			serves, k := d.Kinds[kind].Serving+x.DataCentres[i].Kinds[kind].Settling, c.kind(o)
+			if room := c.room(x, &x.DataCentres[i], o.Kind); desired > max(serves, room) { // the rest waits until the other kind's servers leave
+				if room <= serves {
+					continue
+				}
+				desired, o.Desired = room, room
+			}
 			switch {
 			case !k.known && desired == serves:
 			case desired >= serves && now.Before(k.unavailable): // it keeps what is there
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -121,10 +121,10 @@
 		Send: func(_ context.Context, _ lease.Token, o Order) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			w.sent = append(w.sent, text(o))
 			if w.during != nil {
 				w.during()
 			}
-			w.sent = append(w.sent, text(o))
 			return w.answers[text(o)]
 		},
 	})
@@ -248,6 +248,37 @@
 	check(is.New(t), w, w.controller())
 }
 
+// Guards against an order that the platform rejects or that is paid for: the figures of both kinds that may be in force exceed the maximum
+// while an addition goes ahead of the removal that makes room for it.
+func TestOrdersStayWithinTheMaximum(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	kinds := &w.service.DataCentres[0].Kinds
+	force := [policy.ServerKinds]int{5, 0} // by the orders
+	w.during = func() {
+		o := w.sent[len(w.sent)-1]
+		for kind := range policy.ServerKinds {
+			_, _ = fmt.Sscanf(o, "a/"+kind.String()+"=%d", &force[kind])
+		}
+		if n := max(force[0], kinds[0].Serving) + max(force[1], kinds[1].Serving); n > w.service.Max {
+			t.Errorf("%d servers of both kinds after %q", n, w.sent)
+		}
+	}
+	w.scaler.desired = policy.ServerCounts{{15, 0}, {5, 0}}
+	w.runFor(w.c, settleTime+sampleInterval)
+	kinds[0].Serving = 11
+	w.runFor(w.c, 10*time.Second)
+	w.scaler.desired = policy.ServerCounts{{7, 9}, {5, 0}} // while some of the 15 have not registered
+	w.runFor(w.c, 5*time.Second)
+	kinds[0].Serving = 7
+	w.runFor(w.c, time.Second)
+	is.Equal(force, [policy.ServerKinds]int{7, 9})
+	w.scaler.desired = policy.ServerCounts{{14, 9}, {5, 0}} // above the maximum by itself
+	kinds[1].Serving = 9
+	w.runFor(w.c, time.Second)
+	is.Equal(force, [policy.ServerKinds]int{11, 9})
+}
+
 // Guards against two figures of two holders for one subject: the successor repeats what its predecessor may have sent, and waits
 // until nothing of it can arrive. A holder that was suspended sends nothing.
 func TestAChangeOfHolder(t *testing.T) {
