scaling: a rejected reduction waits before it is sent again

Cause: the pause after a rejection holds back additions only, so that a rejected reduction was sent at each step, as far as the bound on all orders allowed. The scaler was told that no servers were available there.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -43,7 +43,7 @@
 			// the last figure of its predecessor, so that what leaves at its first look is a reclaim only if none remains.
 			present := r.Serving + r.Settling
 			ordered := k.known && (present >= k.lowest(now, x.Startup) || !k.seen && present > 0)
-			k.seen = true
+			k.seen, k.present = true, present
 			if n := r.Reclaimed; n > k.reclaimed && !ordered {
 				k.orderedAt = time.Time{} // what was ordered there does not start any more
 				k.unavailable = now.Add(reclaimPause)
@@ -143,6 +143,7 @@
 			switch {
 			case !k.known && desired == serves:
 			case desired >= serves && now.Before(k.unavailable): // it keeps what is there
+			case desired < serves && now.Before(k.keptUntil):
 			case k.known && k.ordered == desired && (desired <= serves || k.starting(now, serves, x.Startup) > 0):
 				// A figure that has not been reached is ordered again only when the servers should have started.
 			case desired > serves:
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -149,6 +149,8 @@
 	earlier     []figure  // the figures before it that may still be carried out
 	seen        bool      // the servers have been looked at under this lease
 	unavailable time.Time // until then no more are to be had
+	keptUntil   time.Time // until then no fewer are ordered: the platform has rejected it
+	present     int       // servers that do not leave, at the last look
 	reclaimed   int       // servers that the platform took away, at the last look
 	// reclaimedUntil is the time until which all servers there count as leaving.
 	reclaimedUntil time.Time
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -279,6 +279,23 @@
 	is.Equal(force, [policy.ServerKinds]int{11, 9})
 }
 
+// Guards against a rejected reduction that is sent at each step, and that makes the scaler believe that none are to be had there.
+func TestARejectedReductionWaits(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {5, 0}}
+	w.answers["a/on_demand=3"] = ErrRejected
+	w.runFor(w.c, settleTime+rejectedPause-sampleInterval)
+	is.Equal(w.sent, []string{"a/on_demand=3"})
+	is.Equal(w.scaler.state.DataCentres[0].Kinds[policy.OnDemand].UnavailableUntil, time.Duration(0))
+	w.scaler.desired[0][0] = 6
+	w.runFor(w.c, planInterval+sampleInterval)
+	is.Equal(w.sent, []string{"a/on_demand=3", "a/on_demand=6"}) // additions go on
+	w.scaler.desired[0][0] = 3
+	w.runFor(w.c, planInterval+sampleInterval)
+	is.Equal(w.sent, []string{"a/on_demand=3", "a/on_demand=6", "a/on_demand=3"})
+}
+
 // Guards against two figures of two holders for one subject: the successor repeats what its predecessor may have sent, and waits
 // until nothing of it can arrive. A holder that was suspended sends nothing.
 func TestAChangeOfHolder(t *testing.T) {
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -137,7 +137,11 @@
 			answer, failed = "rate_limited", true
 		case errors.Is(err, ErrRejected):
 			answer = "rejected"
-			k.unavailable = laterOf(k.unavailable, now.Add(rejectedPause))
+			if o.Desired < k.present {
+				k.keptUntil = now.Add(rejectedPause)
+			} else {
+				k.unavailable = laterOf(k.unavailable, now.Add(rejectedPause))
+			}
 		default:
 			answer, failed = "unknown", true
 			k.order(now, o.Desired)
