scaling: a reduction that was not carried out is ordered again

Cause: an accepted figure that is below the servers that serve was taken as done for ever, so that servers that the platform did not take away were paid for until the plan changed.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -144,8 +144,8 @@
 			case !k.known && desired == serves:
 			case desired >= serves && now.Before(k.unavailable): // it keeps what is there
 			case desired < serves && now.Before(k.keptUntil):
-			case k.known && k.ordered == desired && (desired <= serves || k.starting(now, serves, x.Startup) > 0):
-				// A figure that has not been reached is ordered again only when the servers should have started.
+			case k.known && k.ordered == desired && (desired == serves || now.Sub(k.orderedAt) < x.Startup+startMargin):
+				// A figure that has not been reached is ordered again only when the servers should have started, or left.
 			case desired > serves:
 				add = append(add, o)
 			default:
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -296,6 +296,22 @@
 	is.Equal(w.sent, []string{"a/on_demand=3", "a/on_demand=6", "a/on_demand=3"})
 }
 
+// Guards against servers that are paid for all day because the platform did not carry out an order that it accepted, and against one
+// such order at each step.
+func TestAReductionThatWasNotCarriedOutIsOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {5, 0}}
+	w.runFor(w.c, settleTime+w.service.Startup+startMargin)
+	is.Equal(w.sent, []string{"a/on_demand=3"})
+	w.runFor(w.c, 2*(w.service.Startup+startMargin))
+	is.Equal(w.sent, []string{"a/on_demand=3", "a/on_demand=3", "a/on_demand=3"})
+	w.service.DataCentres[0].Kinds[policy.OnDemand].Serving = 3
+	w.runFor(w.c, 2*(w.service.Startup+startMargin))
+	is.Equal(len(w.sent), 3)
+	is.Equal(w.store.writes, 1)
+}
+
 // Guards against two figures of two holders for one subject: the successor repeats what its predecessor may have sent, and waits
 // until nothing of it can arrive. A holder that was suspended sends nothing.
 func TestAChangeOfHolder(t *testing.T) {
