scaling: the key of a plan holds names and whole counts

Cause: a plan is kept while the servers are as it was made for, compared by a key that held each count as a byte and no names of data centres. 256 servers more were no change, and the figures of one data centre were ordered in another that took its place. Change: the key holds the names and the counts in full. Result: TestAPlanIsMadeAgainWhenTheServersChange failed before for the count, and without the names in the key for the data centre.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -1,6 +1,7 @@
 package scaling
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -102,11 +103,12 @@
 func (c *Controller) plan(now time.Time, x *Service) []Order {
 	s := c.services[x.Name]
 	state := policy.ScalingState{Min: x.Min, Max: x.Max, Startup: x.Startup, Demand: s.demand, Total: c.totals[x.Name]}
-	key := make([]byte, 0, 64)
+	key := make([]byte, 0, 128)
 	serving := 0
 	for i := range x.DataCentres {
 		d := &x.DataCentres[i]
 		at := policy.ServersAt{DataCentre: d.Name}
+		key = strconv.AppendQuote(key, d.Name)
 		for kind := range at.Kinds {
 			r, k := &d.Kinds[kind], &c.subject(x.Name, d.Name).kinds[kind]
 			at.Kinds[kind] = policy.Servers{
@@ -116,7 +118,9 @@
 			if now.Before(k.unavailable) {
 				key = append(key, '!') // its end changes the plan
 			}
-			key = append(key, byte(r.Serving), byte(r.Settling), byte(r.Leaving), byte(at.Kinds[kind].Starting), ' ')
+			for _, n := range [...]int{r.Serving, r.Settling, r.Leaving, at.Kinds[kind].Starting} {
+				key = append(strconv.AppendInt(key, int64(n), 10), ' ')
+			}
 		}
 		state.DataCentres = append(state.DataCentres, at)
 	}
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -312,6 +312,24 @@
 	is.Equal(w.store.writes, 1)
 }
 
+// Guards against a plan that is kept for other servers than it was made for: as many more as a byte holds, or in another data centre.
+func TestAPlanIsMadeAgainWhenTheServersChange(t *testing.T) {
+	for _, change := range []func(*Service){
+		func(x *Service) { x.DataCentres[0].Kinds[policy.OnDemand].Serving += 256 },
+		func(x *Service) { x.DataCentres[1].Name = "c" },
+	} {
+		is := is.New(t)
+		w := newFixture()
+		w.runFor(w.c, settleTime+sampleInterval)
+		plans := w.scaler.plans
+		w.runFor(w.c, sampleInterval)
+		is.Equal(w.scaler.plans, plans) // the servers have not changed
+		change(&w.service)
+		w.runFor(w.c, sampleInterval)
+		is.Equal(w.scaler.plans, plans+1)
+	}
+}
+
 // Guards against two figures of two holders for one subject: the successor repeats what its predecessor may have sent, and waits
 // until nothing of it can arrive. A holder that was suspended sends nothing.
 func TestAChangeOfHolder(t *testing.T) {
