scaling: after a failed write, no figure is sent that the record may lack

Cause: a write that fails may have taken effect. The figure before it was still taken as recorded, so that an order with it was sent while the record held the other one. A successor would not have repeated what may still be carried out. Change: after a failed write of a kind's figure, any figure of it is written before it is sent. Result: TestTheRecordHoldsWhatMayHaveBeenSent failed before with 6 in the record and 4 sent.

--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -143,6 +143,7 @@
 type kindState struct {
 	recorded    int       // figure in the record
 	isRecorded  bool      // the record has a figure
+	uncertain   bool      // the write of another figure has failed, and may take effect until the next write
 	ordered     int       // last figure that was accepted, or that may have been carried out
 	known       bool      // there is such a figure
 	orderedAt   time.Time // when it was sent last; zero: the servers that it added are not counted on
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -14,6 +14,7 @@
 	"bergamotcroft.example/bergamot/lease"
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/store"
+	"bergamotcroft.example/bergamot/topo"
 )
 
 type fakeClock struct{ now time.Time }
@@ -41,6 +42,7 @@
 	object store.Object
 	writes int
 	err    error
+	lost   bool // writes take effect without an answer
 }
 
 func (s *oneObject) Get(context.Context, string, string) (store.Object, error) {
@@ -60,6 +62,9 @@
 	o.Version++
 	s.object = o
 	s.writes++
+	if s.lost {
+		return 0, store.ErrUnavailable
+	}
 	return o.Version, nil
 }
 
@@ -363,6 +368,28 @@
 	is.Equal(len(w.sent), 0)
 }
 
+// Guards against an order that may be carried out while the record holds another figure: a successor would not repeat it. The write of
+// the other figure took effect although it failed.
+func TestTheRecordHoldsWhatMayHaveBeenSent(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{5, 4}, {5, 0}}
+	w.answers["a/preemptible=4"] = ErrRateLimited
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.answers["a/preemptible=4"] = errors.New("no answer")
+	w.store.lost, w.scaler.desired = true, policy.ServerCounts{{5, 6}, {5, 0}}
+	w.runFor(w.c, planInterval+sampleInterval)
+	w.store.lost, w.scaler.desired = false, policy.ServerCounts{{5, 4}, {5, 0}}
+	w.sent = nil
+	w.during = func() {
+		state, err := topo.Decode[State](w.store.object.Value)
+		is.NoErr(err)
+		is.Equal([]string{text(state.Orders[0])}, w.sent[:1])
+	}
+	w.runFor(w.c, 2*time.Second)
+	is.Equal(w.sent[0], "a/preemptible=4")
+}
+
 // Guards against a fall of the capacity after a time in which no demand was seen. An outage of the store hides none.
 func TestTheDemandIsUnknownAfterAGap(t *testing.T) {
 	is := is.New(t)
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -62,7 +62,7 @@
 
 // write stores the figures of due that the record lacks, in one write. It reports whether the record has all of them.
 func (c *Controller) write(ctx context.Context, now time.Time, due []Order) bool {
-	if !slices.ContainsFunc(due, func(o Order) bool { k := c.kind(o); return !k.isRecorded || k.recorded != o.Desired }) {
+	if !slices.ContainsFunc(due, func(o Order) bool { k := c.kind(o); return !k.isRecorded || k.uncertain || k.recorded != o.Desired }) {
 		return true
 	}
 	if !c.load(ctx, now) {
@@ -96,6 +96,11 @@
 	defer cancel()
 	if err := c.record.Save(ctx, c.fencing, next); err != nil {
 		c.opts.Log.Warn("capacity orders not written", zap.Error(err))
+		for _, o := range due {
+			if k := c.kind(o); !k.isRecorded || k.recorded != o.Desired {
+				k.uncertain = true
+			}
+		}
 		c.loaded, c.loadAt = false, now.Add(time.Second)
 		return false
 	}
@@ -103,6 +108,11 @@
 		k := c.kind(o)
 		k.recorded, k.isRecorded = o.Desired, true
 	}
+	for _, s := range c.subjects {
+		for kind := range s.kinds {
+			s.kinds[kind].uncertain = false // a lost write can't take effect any more
+		}
+	}
 	c.totals = next.Totals
 	return true
 }
