scaling: servers that an order takes away count as leaving at once

Cause: until servers state that they leave, the scaler saw those that an accepted order takes away as serving. Change: for a start-up time and 3 s after an order, no more servers of its kind count as serving than it states. Result: TestServersThatAnOrderTakesAwayCountAsLeaving failed before with 5 serving of 3 ordered.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -80,6 +80,14 @@
 	return max(k.ordered-registered, 0)
 }
 
+// remaining returns how many of the registered servers remain when the last order has been carried out.
+func (k *kindState) remaining(now time.Time, registered int, startup time.Duration) int {
+	if !k.known || now.Sub(k.orderedAt) >= startup+startMargin {
+		return registered
+	}
+	return min(registered, k.ordered)
+}
+
 // inForce returns the highest number of servers that there may be by the orders, of which some are registered.
 func (k *kindState) inForce(registered int) int {
 	if !k.known || k.orderedAt.IsZero() {
@@ -111,8 +119,11 @@
 		key = strconv.AppendQuote(key, d.Name)
 		for kind := range at.Kinds {
 			r, k := &d.Kinds[kind], &c.subject(x.Name, d.Name).kinds[kind]
+			present := k.remaining(now, r.Serving+r.Settling, x.Startup)
+			settling := min(r.Settling, present)
 			at.Kinds[kind] = policy.Servers{
-				Serving: r.Serving, Starting: r.Settling + k.starting(now, r.Serving+r.Settling, x.Startup), Leaving: r.Leaving, Price: r.Price, UnavailableUntil: c.at(k.unavailable),
+				Serving: present - settling, Starting: settling + k.starting(now, r.Serving+r.Settling, x.Startup), Leaving: r.Leaving + r.Serving + r.Settling - present,
+				Price: r.Price, UnavailableUntil: c.at(k.unavailable),
 			}
 			serving += r.Serving + r.Settling
 			if now.Before(k.unavailable) {
@@ -137,7 +148,8 @@
 		d := &state.DataCentres[i]
 		for kind, desired := range s.plan.Desired[i] {
 			o := Order{x.Name, d.DataCentre, policy.ServerKind(kind), desired}
-			serves, k := d.Kinds[kind].Serving+x.DataCentres[i].Kinds[kind].Settling, c.kind(o)
+			k, r := c.kind(o), &x.DataCentres[i].Kinds[kind]
+			serves := k.remaining(now, r.Serving+r.Settling, x.Startup)
 			if room := c.room(x, &x.DataCentres[i], o.Kind); desired > max(serves, room) { // the rest waits until the other kind's servers leave
 				if room <= serves {
 					continue
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -317,6 +317,18 @@
 	is.Equal(w.store.writes, 1)
 }
 
+// Guards against a plan that keeps servers which an order takes away and that have not stated it yet: the order would be taken back, and
+// new servers would start in their place.
+func TestServersThatAnOrderTakesAwayCountAsLeaving(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {5, 0}}
+	w.runFor(w.c, settleTime+2*planInterval)
+	is.Equal(w.sent, []string{"a/on_demand=3"})
+	k := w.scaler.state.DataCentres[0].Kinds[policy.OnDemand]
+	is.Equal([]int{k.Serving, k.Leaving}, []int{3, 2})
+}
+
 // Guards against a plan that is kept for other servers than it was made for: as many more as a byte holds, or in another data centre.
 func TestAPlanIsMadeAgainWhenTheServersChange(t *testing.T) {
 	for _, change := range []func(*Service){
