scaling: reductions of one plan share a write of the record

Cause: the servers of a wave become ready one after the other, and each of the reductions that they allow was written by itself. Change: reductions wait for an addition or for half a second, and are then written together. Additions go at once as before. Result: TestOrdersShareAWrite failed before (2 orders were sent at once).

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -107,8 +107,8 @@
 	return room
 }
 
-// plan returns the orders that lead to the scaler's decision, additions first.
-func (c *Controller) plan(now time.Time, x *Service) []Order {
+// plan returns the orders that lead to the scaler's decision.
+func (c *Controller) plan(now time.Time, x *Service) (add, remove []Order) {
 	s := c.services[x.Name]
 	state := policy.ScalingState{Min: x.Min, Max: x.Max, Startup: x.Startup, Demand: s.demand, Total: c.totals[x.Name]}
 	key := make([]byte, 0, 128)
@@ -136,14 +136,13 @@
 		state.DataCentres = append(state.DataCentres, at)
 	}
 	if serving == 0 {
-		return nil // the catalog is empty, or nothing is left to serve with; no figure follows from that
+		return nil, nil // the catalog is empty, or nothing is left to serve with; no figure follows from that
 	}
 	if now.Sub(s.plannedAt) >= planInterval || string(key) != s.servers {
 		s.plannedAt, s.servers = now, string(key)
 		s.plan = s.scaler.Plan(c.at(now), &state)
 		c.logPlan(x, s, &state)
 	}
-	var add, remove []Order
 	for i := range state.DataCentres {
 		d := &state.DataCentres[i]
 		for kind, desired := range s.plan.Desired[i] {
@@ -169,7 +168,7 @@
 			}
 		}
 	}
-	return append(add, remove...)
+	return add, remove
 }
 
 func (c *Controller) logPlan(x *Service, s *serviceState, state *policy.ScalingState) {
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -92,6 +92,9 @@
 	// ordersPerS bounds the orders of all services, far below the platform's 50 calls a second of all duties.
 	ordersPerS = 5.0
 	orderBurst = 12.0 // both kinds of a service in three data centres, repeated by a new holder and ordered anew
+	// gatherTime is how long reductions wait for others, so that they share a write of the record. Servers that start together become
+	// ready within it, one after the other.
+	gatherTime = 500 * time.Millisecond
 	// startMargin is the time beyond the start-up time after which ordered servers that have not registered are not counted on.
 	startMargin = 3 * time.Second
 	// maxSampleGap is the longest time without a sample after which the demand counts as known; a step may take 3 s.
@@ -127,7 +130,9 @@
 	failures  int // consecutive batches with unanswered or limited orders
 	resumeAt  time.Time
 	loadAt    time.Time // next attempt to load or write the record
-	totals    map[string]int
+	// gatheredFrom is the time since which reductions wait to be sent; zero: there are none.
+	gatheredFrom time.Time
+	totals       map[string]int
 }
 
 // subject is what one unanswered order holds back.
@@ -219,19 +224,34 @@
 	if now.Sub(c.since) < settleTime {
 		return
 	}
-	var due []Order
+	var add, remove []Order
 	for i := range list {
-		due = append(due, c.plan(now, &list[i])...)
+		a, r := c.plan(now, &list[i])
+		add, remove = append(add, a...), append(remove, r...)
 	}
-	c.send(ctx, now, list, due)
+	c.send(ctx, now, list, c.due(now, add, remove))
 	c.updateMetrics(list)
 }
 
+// due returns the orders to send now, additions first. Reductions wait for an addition or for gatherTime.
+func (c *Controller) due(now time.Time, add, remove []Order) []Order {
+	switch {
+	case len(remove) == 0:
+		c.gatheredFrom = time.Time{}
+	case c.gatheredFrom.IsZero():
+		c.gatheredFrom = now
+	}
+	if len(add) == 0 && now.Sub(c.gatheredFrom) < gatherTime {
+		return nil
+	}
+	return append(add, remove...)
+}
+
 // reset forgets what an earlier holder, or this one under an earlier lease, has seen.
 func (c *Controller) reset(fencing uint64, now time.Time) {
 	c.fencing, c.since, c.loaded, c.takenOver = fencing, now, false, false
 	c.services, c.subjects, c.totals = map[string]*serviceState{}, map[subject]*subjectState{}, map[string]int{}
-	c.tokens, c.filledAt, c.failures, c.resumeAt, c.loadAt = orderBurst, now, 0, time.Time{}, time.Time{}
+	c.tokens, c.filledAt, c.failures, c.resumeAt, c.loadAt, c.gatheredFrom = orderBurst, now, 0, time.Time{}, time.Time{}, time.Time{}
 }
 
 func (c *Controller) subject(service, dataCentre string) *subjectState {
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -238,7 +238,7 @@
 		w.service.DataCentres[0].Kinds[policy.Preemptible].Serving = 12
 		w.scaler.desired = policy.ServerCounts{{5, 8}, {5, 0}}
 		w.answers["a/preemptible=8"], w.answers["a/preemptible=12"] = answers[0], answers[1]
-		w.runFor(w.c, settleTime+sampleInterval)
+		w.runFor(w.c, settleTime+gatherTime+sampleInterval)
 		delete(w.answers, "a/preemptible=8")
 		w.scaler.desired = policy.ServerCounts{{5, 12}, {5, 0}}
 		w.runFor(w.c, time.Second)
@@ -329,6 +329,28 @@
 	is.Equal([]int{k.Serving, k.Leaving}, []int{3, 2})
 }
 
+// Guards against a write of the record for each reduction of one plan, whose servers settle one after the other. Additions don't wait.
+func TestOrdersShareAWrite(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {5, 0}}
+	w.runFor(w.c, planInterval)
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {4, 0}}
+	w.service.DataCentres[1].Kinds[policy.OnDemand].Leaving = 1 // asks for a plan
+	w.runFor(w.c, sampleInterval)
+	is.Equal(len(w.sent), 0)
+	w.runFor(w.c, gatherTime)
+	is.Equal(len(w.sent), 2)
+	is.Equal(w.store.writes, 1)
+	w.scaler.desired = policy.ServerCounts{{3, 9}, {4, 0}}
+	w.service.DataCentres[1].Kinds[policy.OnDemand].Leaving = 0
+	w.runFor(w.c, sampleInterval)
+	is.Equal(len(w.sent), 3)
+	w.runFor(w.c, 3*time.Second)
+	is.Equal(w.store.writes, 2) // nothing for an unchanged plan
+}
+
 // Guards against a plan that is kept for other servers than it was made for: as many more as a byte holds, or in another data centre.
 func TestAPlanIsMadeAgainWhenTheServersChange(t *testing.T) {
 	for _, change := range []func(*Service){
