scheduler, forward, edge: streams leave a server before the platform ends it

Cause: a stream at a server that is taken away went on until its connection broke. A process that ends with its machine closes no connection, and the stream, or the prompt that was being computed there, waited until the route's time limit. Change: the scheduler knows from when on the platform may end a server (the stated time less a second). From then on it moves streams that another server can resume, and prompts whose request has not run, to servers that can take them at once. A move is charged like the resend after a break: route's number of servers, retry budget, attempts. A stream whose last data had no identifier stays, as do all of other routes. Servers of scaled services state the time also when an order takes them away, whatever their kind.

--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -147,7 +147,12 @@
 // takenAway holds the upstreams that the platform takes away, with the time from which it ends them. Its zero value is ready to use.
 type takenAway struct {
 	mu   sync.Mutex
-	from map[string]time.Time // by upstream name
+	from map[string]endTime // by upstream name
+}
+
+type endTime struct {
+	at     time.Time
+	scaled bool // the number of the service's servers is ordered
 }
 
 const (
@@ -160,31 +165,49 @@
 func (a *takenAway) note(now time.Time, s *catalog.State) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for name, at := range a.from {
-		if now.Sub(at) > takenAwayMemory {
+	for name, end := range a.from {
+		if now.Sub(end.at) > takenAwayMemory {
 			delete(a.from, name)
 		}
 	}
 	for i := range s.Entries {
 		x := &s.Entries[i]
-		if !x.Preemptible || !x.Leaving || x.LeavesIn <= 0 {
+		scaled := isScaled(s, x.Service)
+		if !x.Leaving || x.LeavesIn <= 0 || !x.Preemptible && !scaled { // a reduction takes servers of either kind away
 			continue
 		}
 		if a.from == nil {
-			a.from = map[string]time.Time{}
+			a.from = map[string]endTime{}
 		}
-		if name := upstreamName(x); a.from[name].IsZero() {
-			a.from[name] = now.Add(x.LeavesIn - takenAwayMargin)
+		if name := upstreamName(x); a.from[name].at.IsZero() {
+			a.from[name] = endTime{now.Add(x.LeavesIn - takenAwayMargin), scaled}
 		}
 	}
 }
 
+func isScaled(s *catalog.State, service string) bool {
+	return s.Table != nil && s.Table.Services[service] != nil && s.Table.Services[service].Scaling != nil
+}
+
+// ends returns when the platform may end the servers of scaled services, relative to now.
+func (a *takenAway) ends(now time.Time) map[string]time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := map[string]time.Duration{}
+	for name, end := range a.from {
+		if end.scaled {
+			out[name] = end.at.Sub(now)
+		}
+	}
+	return out
+}
+
 // now reports whether the platform may have ended the upstream.
 func (a *takenAway) now(now time.Time, upstream string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	at, ok := a.from[upstream]
-	return ok && !now.Before(at)
+	end, ok := a.from[upstream]
+	return ok && !now.Before(end.at)
 }
 
 // upstreamLoad is the load of an upstream by all entry VMs.
--- a/edge/scaling_test.go
+++ b/edge/scaling_test.go
@@ -61,3 +61,27 @@
 	a.note(now.Add(4*time.Second), s)
 	is.Equal(servicesToScale(s, fleet, &a)[0].DataCentres[0].Kinds[policy.Preemptible].Serving, 4)
 }
+
+// Guards against requests that are moved from servers whose end is not stated, or of services whose servers are not ordered, and against
+// an end that a later heartbeat puts off.
+func TestEndsOfServersThatAreTakenAway(t *testing.T) {
+	is := is.New(t)
+	table, err := platform.Decoder{}.Configuration([]byte(scaledConfiguration))
+	is.NoErr(err)
+	entry := func(id, service string, preemptible bool, leavesIn time.Duration) catalog.Entry {
+		return catalog.Entry{ID: id, StartTimeMS: 1, Service: service, Preemptible: preemptible, Leaving: true, LeavesIn: leavesIn}
+	}
+	s := &catalog.State{Table: table, Entries: []catalog.Entry{
+		entry("a", "llm", true, 2300*time.Millisecond), entry("b", "llm", false, 2200*time.Millisecond), entry("c", "llm", true, 0),
+		entry("d", "fixed", true, 2300*time.Millisecond), entry("e", "fixed", false, 2300*time.Millisecond),
+	}}
+	var a takenAway
+	now := time.Unix(1000, 0)
+	a.note(now, s)
+	want := map[string]time.Duration{"a@1": 1300 * time.Millisecond, "b@1": 1200 * time.Millisecond}
+	is.Equal(a.ends(now), want)
+	a.note(now.Add(time.Second), s)
+	is.Equal(a.ends(now), want)
+	later := now.Add(2 * time.Second)
+	is.Equal([]bool{a.now(later, "b@1"), a.now(later, "d@1"), a.now(later, "e@1")}, []bool{true, true, false})
+}
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -66,7 +66,14 @@
 	e.upstreamAddresses = current
 	e.versions.SetServices(streamServices(&s))
 	e.startDuties()
-	return e.gateway.Do(ctx, func(_ time.Duration, sched *scheduler.Scheduler) { sched.SetUpstreams(list) })
+	return e.gateway.Do(ctx, func(now time.Duration, sched *scheduler.Scheduler) {
+		sched.SetUpstreams(list)
+		ends := e.takenAway.ends(time.Now())
+		for name := range ends {
+			ends[name] += now
+		}
+		sched.SetEnds(ends)
+	})
 }
 
 // upstreamName returns the name of one start of an upstream. Each start has a name of its own.
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -26,7 +26,7 @@
 		if !x.route.Resumable {
 			return &sequence{}, nil
 		}
-		return &sequence{position: startAfter(x.call.After)}, nil
+		return &sequence{position: startAfter(x.call.After), movable: &x.movable}, nil
 	}
 	if p.Hedge { // the attempt that has begun the stream writes the position
 		return nil, errOtherAttemptWon
@@ -34,7 +34,7 @@
 	if x.position.dataWithoutID {
 		return nil, notResumable()
 	}
-	return &sequence{position: x.position.clone(), continues: true}, nil
+	return &sequence{position: x.position.clone(), continues: true, movable: &x.movable}, nil
 }
 
 // notResumable returns the refusal of a further attempt at a stream whose position no identifier states.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -183,6 +183,7 @@
 
 	begun           atomic.Bool // the answer's header has been written to the caller
 	position        position    // of the stream; after the first event, only the attempt that won writes it
+	movable         atomic.Bool // another upstream can go on with the stream from its position
 	mediaType       string      // of the answer that began the stream
 	encoding        string      // its Content-Encoding
 	events          int
@@ -372,6 +373,9 @@
 	}
 	if route.Kind == routes.Stream {
 		attempt, q.Version = x.attemptStream, x.plannedVersion
+		if route.Resumable {
+			q.Movable = x.movable.Load
+		}
 	}
 	return &gateway.Work{Request: q, Fingerprint: x.fingerprint, Attempt: x.withCrashGuard(attempt)}
 }
--- a/forward/position.go
+++ b/forward/position.go
@@ -1,6 +1,9 @@
 package forward
 
-import "bytes"
+import (
+	"bytes"
+	"sync/atomic"
+)
 
 // position is the place that a stream has reached: the identifier of its last event.
 type position struct {
@@ -119,9 +122,16 @@
 // sequence checks the events of one attempt against the position of the stream.
 type sequence struct {
 	position
-	continues bool // an earlier attempt has begun the stream
-	accepted  bool // an event of this attempt has been accepted
-	repeated  bool // this attempt has repeated the event before its first one
+	continues bool         // an earlier attempt has begun the stream
+	accepted  bool         // an event of this attempt has been accepted
+	repeated  bool         // this attempt has repeated the event before its first one
+	movable   *atomic.Bool // set while another upstream can go on from the position; nil: not asked for
+}
+
+func (s *sequence) setMovable(movable bool) {
+	if s.movable != nil && s.movable.Load() != movable {
+		s.movable.Store(movable)
+	}
 }
 
 // next reports whether an event is to be relayed. reason is why it does not continue the stream; empty: it does, or it may be dropped.
@@ -136,6 +146,7 @@
 			return false, reasonNoID
 		}
 		s.accepted, s.dataWithoutID = true, true
+		s.setMovable(false)
 		return true, ""
 	}
 	switch s.fit(ev.id) {
@@ -154,5 +165,6 @@
 	}
 	s.accepted = true
 	s.advance(ev.id)
+	s.setMovable(true)
 	return true, ""
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,9 +70,10 @@
 	FirstTokenTarget   time.Duration // absolute target for the first token; 0: none
 	FirstTokenDeadline time.Duration // absolute deadline of the first token, at which the caller leaves; 0: Deadline
 	Idempotent         bool
-	Split              bool // the current attempt prefills and decodes at different engines, which takes two sends
-	MaxResends         int  // maximum number of attempts that may have run, beyond the first; applies only if ResendsLimited is set
-	ResendsLimited     bool // MaxResends applies, also after the answer has begun
+	Split              bool        // the current attempt prefills and decodes at different engines, which takes two sends
+	Movable            func() bool // whether another upstream can go on with the stream from where it is; nil: none can
+	MaxResends         int         // maximum number of attempts that may have run, beyond the first; applies only if ResendsLimited is set
+	ResendsLimited     bool        // MaxResends applies, also after the answer has begun
 
 	// State of the execution.
 	Attempts    int
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -58,6 +58,7 @@
 	ranker         policy.OrderChanger    // the admitter, if it is one; otherwise nil
 	answeredAt     []time.Duration        // by upstream index: last answer to this entry VM; only if overdue prompts are moved
 	moveSearches   int                    // by the current tick
+	ends           map[int]time.Duration  // by upstream index: when the platform may end it
 	nextReview     time.Duration          // of the requests that wait for limited upstreams
 }
 
@@ -410,6 +411,7 @@
 	s.expirePermits(now)
 	s.refuseHopeless(now)
 	s.checkInFlight(now)
+	s.moveFromEnding(now)
 	s.rescue(now)
 	s.yield(now)
 	s.drain(now)
