scaling: refused figures count neither for a successor nor against the maximum

Cause: a figure that was refused stayed in the record, so that a successor sent it, also beside a higher figure of the other kind that was accepted since. When the repeat of an unanswered order was refused, the figure accepted before it was forgotten, and the other kind was ordered as if only the registered servers were there. Change: a write states the figures that are accepted or unanswered, and one is due before an order if the other kind's recorded figure there was refused. A refused repeat brings back the figure that was accepted last. Result: TestRefusedFiguresLeaveTheMaximumAsItWas failed before in both parts.

--- a/scaling/plan.go
+++ b/scaling/plan.go
@@ -46,7 +46,7 @@
 			ordered := k.known && (present >= k.lowest(now, x.Startup) || !k.seen && present > 0)
 			k.seen, k.present = true, present
 			if n := r.Reclaimed; n > k.reclaimed && !ordered {
-				k.orderedAt = time.Time{} // what was ordered there does not start any more
+				k.orderedAt, k.taken = time.Time{}, true // what was ordered there does not start any more
 				k.unavailable = now.Add(reclaimPause)
 				if n*reclaimNotices >= n+present {
 					k.reclaimedUntil = now.Add(reclaimTime)
@@ -90,7 +90,7 @@
 
 // inForce returns the highest number of servers that there may be by the orders, of which some are registered.
 func (k *kindState) inForce(registered int) int {
-	if !k.known || k.orderedAt.IsZero() {
+	if !k.known || k.taken {
 		return registered
 	}
 	return max(k.ordered, registered)
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -152,6 +152,9 @@
 	ordered     int       // last figure that was accepted, or that may have been carried out
 	known       bool      // there is such a figure
 	orderedAt   time.Time // when it was sent last; zero: the servers that it added are not counted on
+	accepted    int       // last figure that was accepted
+	isAccepted  bool      // there is such a figure
+	taken       bool      // the platform has taken servers away since, so that no figure is in force
 	earlier     []figure  // the figures before it that may still be carried out
 	seen        bool      // the servers have been looked at under this lease
 	unavailable time.Time // until then no more are to be had
@@ -173,7 +176,12 @@
 	if k.known && k.ordered != desired {
 		k.earlier = append(k.earlier, figure{k.ordered, now})
 	}
-	k.ordered, k.known, k.orderedAt = desired, true, now
+	k.ordered, k.known, k.orderedAt, k.taken = desired, true, now, false
+}
+
+// refused records that the figure that may have been carried out was not.
+func (k *kindState) refused() {
+	k.ordered, k.known, k.orderedAt = k.accepted, k.isAccepted, time.Time{}
 }
 
 // lowest returns the lowest figure that the servers may follow now. The servers that an earlier figure takes away may state that they
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -284,6 +284,33 @@
 	is.Equal(force, [policy.ServerKinds]int{11, 9})
 }
 
+// Guards against a figure that was refused: a successor would send it beside the higher one of the other kind. And against an accepted
+// figure that is forgotten because a later one was refused.
+func TestRefusedFiguresLeaveTheMaximumAsItWas(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{5, 15}, {5, 0}}
+	w.answers["a/preemptible=15"] = ErrNoServers
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.scaler.desired = policy.ServerCounts{{19, 0}, {5, 0}}
+	w.runFor(w.c, 2*planInterval)
+	delete(w.answers, "a/preemptible=15")
+	w.lease.token.Fencing, w.lease.token.Since = 2, w.clock.now.Add(-time.Minute)
+	w.sent = nil
+	next := w.controller()
+	w.runFor(next, settleTime+planInterval)
+	is.Equal(w.sent, []string{"a/on_demand=19"})
+	w.answers["a/on_demand=20"] = errors.New("no answer")
+	w.scaler.desired[0][0] = 20
+	w.runFor(next, planInterval+sampleInterval)
+	w.answers["a/on_demand=20"] = ErrNoServers
+	w.runFor(next, 2*maxBackoff)
+	w.scaler.desired[0] = [policy.ServerKinds]int{5, 15} // 19 may still start
+	w.sent = nil
+	w.runFor(next, planInterval)
+	is.True(!slices.Contains(w.sent, "a/preemptible=15"))
+}
+
 // Guards against a rejected reduction that is sent at each step, and that makes the scaler believe that none are to be had there.
 func TestARejectedReductionWaits(t *testing.T) {
 	is := is.New(t)
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -60,9 +60,27 @@
 	return out
 }
 
+// recorded reports whether the record has the figure of o, and none of the other kind there that was refused. A successor sends all
+// figures of the record, which together must not exceed the maximum.
+func (c *Controller) recorded(o Order) bool {
+	s := c.subject(o.Service, o.DataCentre)
+	for kind := range s.kinds {
+		k := &s.kinds[kind]
+		switch {
+		case policy.ServerKind(kind) == o.Kind:
+			if !k.isRecorded || k.uncertain || k.recorded != o.Desired {
+				return false
+			}
+		case len(s.repeat) == 0 && k.isRecorded && (!k.known || k.recorded != k.ordered):
+			return false
+		}
+	}
+	return true
+}
+
 // write stores the figures of due that the record lacks, in one write. It reports whether the record has all of them.
 func (c *Controller) write(ctx context.Context, now time.Time, due []Order) bool {
-	if !slices.ContainsFunc(due, func(o Order) bool { k := c.kind(o); return !k.isRecorded || k.uncertain || k.recorded != o.Desired }) {
+	if !slices.ContainsFunc(due, func(o Order) bool { return !c.recorded(o) }) {
 		return true
 	}
 	if !c.load(ctx, now) {
@@ -77,8 +95,8 @@
 	figures := map[Order]int{} // by order with Desired 0
 	for k, s := range c.subjects {
 		for kind := range s.kinds {
-			if s.kinds[kind].isRecorded {
-				figures[Order{k.service, k.dataCentre, policy.ServerKind(kind), 0}] = s.kinds[kind].recorded
+			if s.kinds[kind].known {
+				figures[Order{k.service, k.dataCentre, policy.ServerKind(kind), 0}] = s.kinds[kind].ordered
 			}
 		}
 	}
@@ -96,23 +114,25 @@
 	defer cancel()
 	if err := c.record.Save(ctx, c.fencing, next); err != nil {
 		c.opts.Log.Warn("capacity orders not written", zap.Error(err))
-		for _, o := range due {
-			if k := c.kind(o); !k.isRecorded || k.recorded != o.Desired {
-				k.uncertain = true
+		for k, s := range c.subjects {
+			for kind := range s.kinds {
+				x := &s.kinds[kind]
+				n, ok := figures[Order{k.service, k.dataCentre, policy.ServerKind(kind), 0}]
+				x.uncertain = x.uncertain || ok != x.isRecorded || n != x.recorded
 			}
 		}
 		c.loaded, c.loadAt = false, now.Add(time.Second)
 		return false
 	}
-	for _, o := range due {
-		k := c.kind(o)
-		k.recorded, k.isRecorded = o.Desired, true
-	}
 	for _, s := range c.subjects {
 		for kind := range s.kinds {
-			s.kinds[kind].uncertain = false // a lost write can't take effect any more
+			s.kinds[kind].isRecorded, s.kinds[kind].uncertain = false, false // a lost write can't take effect any more
 		}
 	}
+	for _, o := range next.Orders {
+		k := c.kind(o)
+		k.recorded, k.isRecorded = o.Desired, true
+	}
 	c.totals = next.Totals
 	return true
 }
@@ -140,6 +160,7 @@
 		switch {
 		case err == nil:
 			k.order(now, o.Desired)
+			k.accepted, k.isAccepted = o.Desired, true
 		case errors.Is(err, ErrNoServers):
 			answer = "no_servers"
 			k.unavailable = laterOf(k.unavailable, now.Add(noServersPause))
@@ -162,7 +183,7 @@
 		if repeated && answer != "unknown" && answer != "rate_limited" {
 			s.repeat = s.repeat[1:]
 			if err != nil { // the servers that were counted on will not start
-				k.orderedAt = time.Time{}
+				k.refused()
 			}
 		}
 		if p := c.services[o.Service]; p != nil {
