scaling: unanswered orders are repeated while the store takes no writes

Cause: a new figure that could not be written held back the whole batch, and with it the repeats of unanswered orders, which the record has. Documented was that these go on. Change: after a failed write, the orders of the batch that the record has are sent. Result: TestAnUnansweredOrderIsRepeatedWithoutTheStore failed before with one send in 3 s.

--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -451,6 +451,20 @@
 	is.Equal(w.sent[0], "a/preemptible=4")
 }
 
+// Guards against an unanswered order that is not repeated because another one can't be written: its servers might never be started.
+func TestAnUnansweredOrderIsRepeatedWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{5, 4}, {5, 0}}
+	w.answers["a/preemptible=4"] = errors.New("no answer")
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.store.err = store.ErrUnavailable
+	w.scaler.desired = policy.ServerCounts{{5, 4}, {5, 3}}
+	w.runFor(w.c, 3*time.Second)
+	is.True(len(w.sent) > 2)
+	is.True(!slices.Contains(w.sent, "b/preemptible=3"))
+}
+
 // Guards against a fall of the capacity after a time in which no demand was seen. An outage of the store hides none.
 func TestTheDemandIsUnknownAfterAGap(t *testing.T) {
 	is := is.New(t)
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -23,7 +23,10 @@
 		return
 	}
 	batch := c.batch(list, due)
-	if len(batch) == 0 || !c.write(ctx, now, batch) {
+	if !c.write(ctx, now, batch) {
+		batch = slices.DeleteFunc(batch, func(o Order) bool { return !c.recorded(o) })
+	}
+	if len(batch) == 0 {
 		return
 	}
 	token, ok := c.duty().Holds() // the write may have taken long
