--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -91,6 +92,9 @@
 	// ordersPerS bounds the orders of all services, far below the platform's 50 calls a second of all duties.
 	ordersPerS = 5.0
 	orderBurst = 12.0 // both kinds of a service in three data centres, repeated by a new holder and ordered anew
+	// gatherTime is how long reductions wait for others, so that they share a write of the record. Servers that start together become
+	// ready within it, one after the other.
+	gatherTime = 500 * time.Millisecond
 	// startMargin is the time beyond the start-up time after which ordered servers that have not registered are not counted on.
 	startMargin = 3 * time.Second
 	// maxSampleGap is the longest time without a sample after which the demand counts as known; a step may take 3 s.
@@ -126,7 +130,9 @@
 	failures  int // consecutive batches with unanswered or limited orders
 	resumeAt  time.Time
 	loadAt    time.Time // next attempt to load or write the record
-	totals    map[string]int
+	// gatheredFrom is the time since which reductions wait to be sent; zero: there are none.
+	gatheredFrom time.Time
+	totals       map[string]int
 }
 
 // subject is what one unanswered order holds back.
@@ -142,15 +148,53 @@
 type kindState struct {
 	recorded    int       // figure in the record
 	isRecorded  bool      // the record has a figure
+	uncertain   bool      // the write of another figure has failed, and may take effect until the next write
 	ordered     int       // last figure that was accepted, or that may have been carried out
 	known       bool      // there is such a figure
-	orderedAt   time.Time // when it was sent last
+	orderedAt   time.Time // when it was sent last; zero: the servers that it added are not counted on
+	accepted    int       // last figure that was accepted
+	isAccepted  bool      // there is such a figure
+	taken       bool      // the platform has taken servers away since, so that no figure is in force
+	earlier     []figure  // the figures before it that may still be carried out
+	seen        bool      // the servers have been looked at under this lease
 	unavailable time.Time // until then no more are to be had
+	keptUntil   time.Time // until then no fewer are ordered: the platform has rejected it
+	present     int       // servers that do not leave, at the last look
 	reclaimed   int       // servers that the platform took away, at the last look
 	// reclaimedUntil is the time until which all servers there count as leaving.
 	reclaimedUntil time.Time
 }
 
+// figure is a number of servers that was ordered until a time.
+type figure struct {
+	desired int
+	until   time.Time
+}
+
+// order records a figure that was sent and was accepted, or may be carried out.
+func (k *kindState) order(now time.Time, desired int) {
+	if k.known && k.ordered != desired {
+		k.earlier = append(k.earlier, figure{k.ordered, now})
+	}
+	k.ordered, k.known, k.orderedAt, k.taken = desired, true, now, false
+}
+
+// refused records that the figure that may have been carried out was not.
+func (k *kindState) refused() {
+	k.ordered, k.known, k.orderedAt = k.accepted, k.isAccepted, time.Time{}
+}
+
+// lowest returns the lowest figure that the servers may follow now. The servers that an earlier figure takes away may state that they
+// leave only after the next figure was sent.
+func (k *kindState) lowest(now time.Time, startup time.Duration) int {
+	k.earlier = slices.DeleteFunc(k.earlier, func(f figure) bool { return now.Sub(f.until) >= startup+startMargin })
+	n := k.ordered
+	for _, f := range k.earlier {
+		n = min(n, f.desired)
+	}
+	return n
+}
+
 // New returns a Controller.
 func New(o Options) *Controller {
 	if o.Log == nil {
@@ -188,19 +232,34 @@
 	if now.Sub(c.since) < settleTime {
 		return
 	}
-	var due []Order
+	var add, remove []Order
 	for i := range list {
-		due = append(due, c.plan(now, &list[i])...)
+		a, r := c.plan(now, &list[i])
+		add, remove = append(add, a...), append(remove, r...)
 	}
-	c.send(ctx, now, list, due)
+	c.send(ctx, now, list, c.due(now, add, remove))
 	c.updateMetrics(list)
 }
 
+// due returns the orders to send now, additions first. Reductions wait for an addition or for gatherTime.
+func (c *Controller) due(now time.Time, add, remove []Order) []Order {
+	switch {
+	case len(remove) == 0:
+		c.gatheredFrom = time.Time{}
+	case c.gatheredFrom.IsZero():
+		c.gatheredFrom = now
+	}
+	if len(add) == 0 && now.Sub(c.gatheredFrom) < gatherTime {
+		return nil
+	}
+	return append(add, remove...)
+}
+
 // reset forgets what an earlier holder, or this one under an earlier lease, has seen.
 func (c *Controller) reset(fencing uint64, now time.Time) {
 	c.fencing, c.since, c.loaded, c.takenOver = fencing, now, false, false
 	c.services, c.subjects, c.totals = map[string]*serviceState{}, map[subject]*subjectState{}, map[string]int{}
-	c.tokens, c.filledAt, c.failures, c.resumeAt, c.loadAt = orderBurst, now, 0, time.Time{}, time.Time{}
+	c.tokens, c.filledAt, c.failures, c.resumeAt, c.loadAt, c.gatheredFrom = orderBurst, now, 0, time.Time{}, time.Time{}, time.Time{}
 }
 
 func (c *Controller) subject(service, dataCentre string) *subjectState {
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"bergamotcroft.example/bergamot/lease"
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/store"
+	"bergamotcroft.example/bergamot/topo"
 )
 
 type fakeClock struct{ now time.Time }
@@ -40,6 +42,7 @@
 	object store.Object
 	writes int
 	err    error
+	lost   bool // writes take effect without an answer
 }
 
 func (s *oneObject) Get(context.Context, string, string) (store.Object, error) {
@@ -59,6 +62,9 @@
 	o.Version++
 	s.object = o
 	s.writes++
+	if s.lost {
+		return 0, store.ErrUnavailable
+	}
 	return o.Version, nil
 }
 
@@ -120,10 +126,10 @@
 		Send: func(_ context.Context, _ lease.Token, o Order) error {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			w.sent = append(w.sent, text(o))
 			if w.during != nil {
 				w.during()
 			}
-			w.sent = append(w.sent, text(o))
 			return w.answers[text(o)]
 		},
 	})
@@ -209,6 +215,187 @@
 	is.Equal(len(w.sent), 0) // for the data centre itself
 }
 
+// Guards against a reclaim that is seen where servers leave for an earlier, lower figure: it would stop all orders there. Once more
+// leave, it is one.
+func TestAReductionIsNoReclaim(t *testing.T) {
+	lost := errors.New("no answer")
+	check := func(is *is.I, w *fixture, c *Controller) {
+		pre, k := &w.service.DataCentres[0].Kinds[policy.Preemptible], &policy.Servers{}
+		look := func(r Registered) {
+			*pre = r
+			w.runFor(c, settleTime+2*sampleInterval)
+			*k = w.scaler.state.DataCentres[0].Kinds[policy.Preemptible]
+		}
+		look(Registered{Serving: 8, Leaving: 4, Reclaimed: 4})
+		is.Equal([]int{k.Serving, k.Leaving, int(k.UnavailableUntil)}, []int{8, 4, 0})
+		look(Registered{Serving: 7, Leaving: 5, Reclaimed: 5})
+		is.Equal([]int{k.Serving, k.Leaving}, []int{0, 12})
+		is.True(k.UnavailableUntil > 0)
+	}
+	for _, answers := range [][2]error{{}, {lost}, {nil, lost}} { // of the reduction, and of the order after it
+		is := is.New(t)
+		w := newFixture()
+		w.service.DataCentres[0].Kinds[policy.Preemptible].Serving = 12
+		w.scaler.desired = policy.ServerCounts{{5, 8}, {5, 0}}
+		w.answers["a/preemptible=8"], w.answers["a/preemptible=12"] = answers[0], answers[1]
+		w.runFor(w.c, settleTime+gatherTime+sampleInterval)
+		delete(w.answers, "a/preemptible=8")
+		w.scaler.desired = policy.ServerCounts{{5, 12}, {5, 0}}
+		w.runFor(w.c, time.Second)
+		is.True(slices.Contains(w.sent, "a/preemptible=12"))
+		check(is, w, w.c)
+	}
+	w := newFixture() // a successor knows only the later figure
+	w.service.DataCentres[0].Kinds[policy.Preemptible].Serving = 8
+	w.scaler.desired = policy.ServerCounts{{5, 12}, {5, 0}}
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.lease.token.Fencing, w.lease.token.Since = 2, w.clock.now.Add(-time.Minute)
+	check(is.New(t), w, w.controller())
+}
+
+// Guards against an order that the platform rejects or that is paid for: the figures of both kinds that may be in force exceed the maximum
+// while an addition goes ahead of the removal that makes room for it.
+func TestOrdersStayWithinTheMaximum(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	kinds := &w.service.DataCentres[0].Kinds
+	force := [policy.ServerKinds]int{5, 0} // by the orders
+	w.during = func() {
+		o := w.sent[len(w.sent)-1]
+		for kind := range policy.ServerKinds {
+			_, _ = fmt.Sscanf(o, "a/"+kind.String()+"=%d", &force[kind])
+		}
+		if n := max(force[0], kinds[0].Serving) + max(force[1], kinds[1].Serving); n > w.service.Max {
+			t.Errorf("%d servers of both kinds after %q", n, w.sent)
+		}
+	}
+	w.scaler.desired = policy.ServerCounts{{15, 0}, {5, 0}}
+	w.runFor(w.c, settleTime+sampleInterval)
+	kinds[0].Serving = 11
+	w.runFor(w.c, 10*time.Second)
+	w.scaler.desired = policy.ServerCounts{{7, 9}, {5, 0}} // while some of the 15 have not registered
+	w.runFor(w.c, 5*time.Second)
+	kinds[0].Serving = 7
+	w.runFor(w.c, time.Second)
+	is.Equal(force, [policy.ServerKinds]int{7, 9})
+	w.scaler.desired = policy.ServerCounts{{14, 9}, {5, 0}} // above the maximum by itself
+	kinds[1].Serving = 9
+	w.runFor(w.c, time.Second)
+	is.Equal(force, [policy.ServerKinds]int{11, 9})
+}
+
+// Guards against a figure that was refused: a successor would send it beside the higher one of the other kind. And against an accepted
+// figure that is forgotten because a later one was refused.
+func TestRefusedFiguresLeaveTheMaximumAsItWas(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{5, 15}, {5, 0}}
+	w.answers["a/preemptible=15"] = ErrNoServers
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.scaler.desired = policy.ServerCounts{{19, 0}, {5, 0}}
+	w.runFor(w.c, 2*planInterval)
+	delete(w.answers, "a/preemptible=15")
+	w.lease.token.Fencing, w.lease.token.Since = 2, w.clock.now.Add(-time.Minute)
+	w.sent = nil
+	next := w.controller()
+	w.runFor(next, settleTime+planInterval)
+	is.Equal(w.sent, []string{"a/on_demand=19"})
+	w.answers["a/on_demand=20"] = errors.New("no answer")
+	w.scaler.desired[0][0] = 20
+	w.runFor(next, planInterval+sampleInterval)
+	w.answers["a/on_demand=20"] = ErrNoServers
+	w.runFor(next, 2*maxBackoff)
+	w.scaler.desired[0] = [policy.ServerKinds]int{5, 15} // 19 may still start
+	w.sent = nil
+	w.runFor(next, planInterval)
+	is.True(!slices.Contains(w.sent, "a/preemptible=15"))
+}
+
+// Guards against a rejected reduction that is sent at each step, and that makes the scaler believe that none are to be had there.
+func TestARejectedReductionWaits(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {5, 0}}
+	w.answers["a/on_demand=3"] = ErrRejected
+	w.runFor(w.c, settleTime+rejectedPause-sampleInterval)
+	is.Equal(w.sent, []string{"a/on_demand=3"})
+	is.Equal(w.scaler.state.DataCentres[0].Kinds[policy.OnDemand].UnavailableUntil, time.Duration(0))
+	w.scaler.desired[0][0] = 6
+	w.runFor(w.c, planInterval+sampleInterval)
+	is.Equal(w.sent, []string{"a/on_demand=3", "a/on_demand=6"}) // additions go on
+	w.scaler.desired[0][0] = 3
+	w.runFor(w.c, planInterval+sampleInterval)
+	is.Equal(w.sent, []string{"a/on_demand=3", "a/on_demand=6", "a/on_demand=3"})
+}
+
+// Guards against servers that are paid for all day because the platform did not carry out an order that it accepted, and against one
+// such order at each step.
+func TestAReductionThatWasNotCarriedOutIsOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {5, 0}}
+	w.runFor(w.c, settleTime+w.service.Startup+startMargin)
+	is.Equal(w.sent, []string{"a/on_demand=3"})
+	w.runFor(w.c, 2*(w.service.Startup+startMargin))
+	is.Equal(w.sent, []string{"a/on_demand=3", "a/on_demand=3", "a/on_demand=3"})
+	w.service.DataCentres[0].Kinds[policy.OnDemand].Serving = 3
+	w.runFor(w.c, 2*(w.service.Startup+startMargin))
+	is.Equal(len(w.sent), 3)
+	is.Equal(w.store.writes, 1)
+}
+
+// Guards against a plan that keeps servers which an order takes away and that have not stated it yet: the order would be taken back, and
+// new servers would start in their place.
+func TestServersThatAnOrderTakesAwayCountAsLeaving(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {5, 0}}
+	w.runFor(w.c, settleTime+2*planInterval)
+	is.Equal(w.sent, []string{"a/on_demand=3"})
+	k := w.scaler.state.DataCentres[0].Kinds[policy.OnDemand]
+	is.Equal([]int{k.Serving, k.Leaving}, []int{3, 2})
+}
+
+// Guards against a write of the record for each reduction of one plan, whose servers settle one after the other. Additions don't wait.
+func TestOrdersShareAWrite(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {5, 0}}
+	w.runFor(w.c, planInterval)
+	w.scaler.desired = policy.ServerCounts{{3, 0}, {4, 0}}
+	w.service.DataCentres[1].Kinds[policy.OnDemand].Leaving = 1 // asks for a plan
+	w.runFor(w.c, sampleInterval)
+	is.Equal(len(w.sent), 0)
+	w.runFor(w.c, gatherTime)
+	is.Equal(len(w.sent), 2)
+	is.Equal(w.store.writes, 1)
+	w.scaler.desired = policy.ServerCounts{{3, 9}, {4, 0}}
+	w.service.DataCentres[1].Kinds[policy.OnDemand].Leaving = 0
+	w.runFor(w.c, sampleInterval)
+	is.Equal(len(w.sent), 3)
+	w.runFor(w.c, 3*time.Second)
+	is.Equal(w.store.writes, 2) // nothing for an unchanged plan
+}
+
+// Guards against a plan that is kept for other servers than it was made for: as many more as a byte holds, or in another data centre.
+func TestAPlanIsMadeAgainWhenTheServersChange(t *testing.T) {
+	for _, change := range []func(*Service){
+		func(x *Service) { x.DataCentres[0].Kinds[policy.OnDemand].Serving += 256 },
+		func(x *Service) { x.DataCentres[1].Name = "c" },
+	} {
+		is := is.New(t)
+		w := newFixture()
+		w.runFor(w.c, settleTime+sampleInterval)
+		plans := w.scaler.plans
+		w.runFor(w.c, sampleInterval)
+		is.Equal(w.scaler.plans, plans) // the servers have not changed
+		change(&w.service)
+		w.runFor(w.c, sampleInterval)
+		is.Equal(w.scaler.plans, plans+1)
+	}
+}
+
 // Guards against two figures of two holders for one subject: the successor repeats what its predecessor may have sent, and waits
 // until nothing of it can arrive. A holder that was suspended sends nothing.
 func TestAChangeOfHolder(t *testing.T) {
@@ -242,6 +429,42 @@
 	is.Equal(len(w.sent), 0)
 }
 
+// Guards against an order that may be carried out while the record holds another figure: a successor would not repeat it. The write of
+// the other figure took effect although it failed.
+func TestTheRecordHoldsWhatMayHaveBeenSent(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{5, 4}, {5, 0}}
+	w.answers["a/preemptible=4"] = ErrRateLimited
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.answers["a/preemptible=4"] = errors.New("no answer")
+	w.store.lost, w.scaler.desired = true, policy.ServerCounts{{5, 6}, {5, 0}}
+	w.runFor(w.c, planInterval+sampleInterval)
+	w.store.lost, w.scaler.desired = false, policy.ServerCounts{{5, 4}, {5, 0}}
+	w.sent = nil
+	w.during = func() {
+		state, err := topo.Decode[State](w.store.object.Value)
+		is.NoErr(err)
+		is.Equal([]string{text(state.Orders[0])}, w.sent[:1])
+	}
+	w.runFor(w.c, 2*time.Second)
+	is.Equal(w.sent[0], "a/preemptible=4")
+}
+
+// Guards against an unanswered order that is not repeated because another one can't be written: its servers might never be started.
+func TestAnUnansweredOrderIsRepeatedWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	w := newFixture()
+	w.scaler.desired = policy.ServerCounts{{5, 4}, {5, 0}}
+	w.answers["a/preemptible=4"] = errors.New("no answer")
+	w.runFor(w.c, settleTime+sampleInterval)
+	w.store.err = store.ErrUnavailable
+	w.scaler.desired = policy.ServerCounts{{5, 4}, {5, 3}}
+	w.runFor(w.c, 3*time.Second)
+	is.True(len(w.sent) > 2)
+	is.True(!slices.Contains(w.sent, "b/preemptible=3"))
+}
+
 // Guards against a fall of the capacity after a time in which no demand was seen. An outage of the store hides none.
 func TestTheDemandIsUnknownAfterAGap(t *testing.T) {
 	is := is.New(t)
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -23,7 +23,10 @@
 		return
 	}
 	batch := c.batch(list, due)
-	if len(batch) == 0 || !c.write(ctx, now, batch) {
+	if !c.write(ctx, now, batch) {
+		batch = slices.DeleteFunc(batch, func(o Order) bool { return !c.recorded(o) })
+	}
+	if len(batch) == 0 {
 		return
 	}
 	token, ok := c.duty().Holds() // the write may have taken long
@@ -60,9 +63,27 @@
 	return out
 }
 
+// recorded reports whether the record has the figure of o, and none of the other kind there that was refused. A successor sends all
+// figures of the record, which together must not exceed the maximum.
+func (c *Controller) recorded(o Order) bool {
+	s := c.subject(o.Service, o.DataCentre)
+	for kind := range s.kinds {
+		k := &s.kinds[kind]
+		switch {
+		case policy.ServerKind(kind) == o.Kind:
+			if !k.isRecorded || k.uncertain || k.recorded != o.Desired {
+				return false
+			}
+		case len(s.repeat) == 0 && k.isRecorded && (!k.known || k.recorded != k.ordered):
+			return false
+		}
+	}
+	return true
+}
+
 // write stores the figures of due that the record lacks, in one write. It reports whether the record has all of them.
 func (c *Controller) write(ctx context.Context, now time.Time, due []Order) bool {
-	if !slices.ContainsFunc(due, func(o Order) bool { k := c.kind(o); return !k.isRecorded || k.recorded != o.Desired }) {
+	if !slices.ContainsFunc(due, func(o Order) bool { return !c.recorded(o) }) {
 		return true
 	}
 	if !c.load(ctx, now) {
@@ -77,8 +98,8 @@
 	figures := map[Order]int{} // by order with Desired 0
 	for k, s := range c.subjects {
 		for kind := range s.kinds {
-			if s.kinds[kind].isRecorded {
-				figures[Order{k.service, k.dataCentre, policy.ServerKind(kind), 0}] = s.kinds[kind].recorded
+			if s.kinds[kind].known {
+				figures[Order{k.service, k.dataCentre, policy.ServerKind(kind), 0}] = s.kinds[kind].ordered
 			}
 		}
 	}
@@ -96,10 +117,22 @@
 	defer cancel()
 	if err := c.record.Save(ctx, c.fencing, next); err != nil {
 		c.opts.Log.Warn("capacity orders not written", zap.Error(err))
+		for k, s := range c.subjects {
+			for kind := range s.kinds {
+				x := &s.kinds[kind]
+				n, ok := figures[Order{k.service, k.dataCentre, policy.ServerKind(kind), 0}]
+				x.uncertain = x.uncertain || ok != x.isRecorded || n != x.recorded
+			}
+		}
 		c.loaded, c.loadAt = false, now.Add(time.Second)
 		return false
 	}
-	for _, o := range due {
+	for _, s := range c.subjects {
+		for kind := range s.kinds {
+			s.kinds[kind].isRecorded, s.kinds[kind].uncertain = false, false // a lost write can't take effect any more
+		}
+	}
+	for _, o := range next.Orders {
 		k := c.kind(o)
 		k.recorded, k.isRecorded = o.Desired, true
 	}
@@ -129,7 +162,8 @@
 		answer := "accepted"
 		switch {
 		case err == nil:
-			k.ordered, k.known, k.orderedAt = o.Desired, true, now
+			k.order(now, o.Desired)
+			k.accepted, k.isAccepted = o.Desired, true
 		case errors.Is(err, ErrNoServers):
 			answer = "no_servers"
 			k.unavailable = laterOf(k.unavailable, now.Add(noServersPause))
@@ -137,10 +171,14 @@
 			answer, failed = "rate_limited", true
 		case errors.Is(err, ErrRejected):
 			answer = "rejected"
-			k.unavailable = laterOf(k.unavailable, now.Add(rejectedPause))
+			if o.Desired < k.present {
+				k.keptUntil = now.Add(rejectedPause)
+			} else {
+				k.unavailable = laterOf(k.unavailable, now.Add(rejectedPause))
+			}
 		default:
 			answer, failed = "unknown", true
-			k.ordered, k.known, k.orderedAt = o.Desired, true, now
+			k.order(now, o.Desired)
 			if !repeated {
 				s.repeat = append(s.repeat, o)
 			}
@@ -148,7 +186,7 @@
 		if repeated && answer != "unknown" && answer != "rate_limited" {
 			s.repeat = s.repeat[1:]
 			if err != nil { // the servers that were counted on will not start
-				k.orderedAt = time.Time{}
+				k.refused()
 			}
 		}
 		if p := c.services[o.Service]; p != nil {
