--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -68,8 +68,13 @@
 func (s *Scheduler) moveFrom(now time.Duration, r *policy.Request, ending int) bool {
 	avoid, avoidDecode := r.Avoid, r.AvoidDecode
 	r.Avoid, r.AvoidDecode = ending, policy.None
-	c := s.opts.Router.Route(now, r, &s.fleet)
 	began := r.FirstAt != 0
+	var c policy.Choice
+	if began {
+		c = s.opts.Router.Route(now, r, &s.fleet)
+	} else {
+		c = s.routeWithoutHolding(now, r)
+	}
 	allowed := c.Prefill != policy.None && c.Prefill != ending && c.Decode != ending && !s.shouldWait(r, c)
 	if allowed && began {
 		allowed, _ = s.opts.Retry.Retry(now, r, policy.CutShort)
@@ -87,7 +92,7 @@
 	s.releaseDecodePermit(now, r)
 	s.removeLoad(r, currentAttempt(r))
 	s.removeInFlight(r)
-	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: r.Prefill, Decode: r.Decode})
+	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: r.Prefill, Decode: r.Decode, Moved: !began})
 	s.dispatch(now, r, c, 0)
 	return true
 }
