scheduler: explain what would become of a request, without a change of state

Operators ask where a request would go now and why. Explain runs the code of the real decision (judge and nextStep, now shared with place) with previews of the policies: the router decides on a copy with the same random state, the admitter judges without joining its shares, exclusions are read without their end being recorded. The router's answer of Heard is kept in the router instead of in edge, so that a query does not move the time of the next look at the member table.

One line of TestObjectiveLimitsCharges asks for the account through group instead of find, which no longer creates a group; what it checks is the same.

--- a/edge/spill.go
+++ b/edge/spill.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
@@ -26,16 +25,7 @@
 	}
 	gain.OnSent = countSpill
 	m.Spill = gain
-	var heard map[string]bool
-	var alone bool
-	var at time.Time
-	m.Heard = func() (map[string]bool, bool) { // called by the scheduler's goroutine only
-		if now := time.Now(); heard == nil || now.Sub(at) > heardInterval {
-			heard, alone = heardDataCentres(e.list.Members(), e.settings.VM)
-			at = now
-		}
-		return heard, alone
-	}
+	m.Heard = func() (map[string]bool, bool) { return heardDataCentres(e.list.Members(), e.settings.VM) }
 	return nil
 }
 
@@ -46,9 +36,6 @@
 	metrics.GetOrCreateCounter("bergamot_spill_prompt_bytes_total" + labels).Add(promptBytes)
 }
 
-// heardInterval is the time between two looks at the member table, which is copied each time. Members become suspects after seconds.
-const heardInterval = 250 * time.Millisecond
-
 // heardDataCentres returns the data centres with a member that is heard from, and whether no member but self is.
 func heardDataCentres(all []membership.Member, self string) (heard map[string]bool, alone bool) {
 	heard, alone = map[string]bool{}, true
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -32,6 +32,11 @@
 	return policy.Verdict{Admit: true}
 }
 
+// Preview implements policy.AdmissionPreviewer.
+func (*FIFO) Preview(time.Duration, *policy.Request, *policy.Fleet, policy.Choice, policy.QueueView) policy.Verdict {
+	return policy.Verdict{Admit: true}
+}
+
 // Less implements policy.Admitter.
 func (*FIFO) Less(a, b *policy.Request) bool { return arrivedBefore(a, b) }
 
@@ -87,6 +92,23 @@
 
 // Admit implements policy.Admitter.
 func (d *Deadline) Admit(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
+	v := d.judge(now, r, f, c, q)
+	if v.Admit {
+		d.assignTag(r)
+	}
+	return v
+}
+
+// Preview implements policy.AdmissionPreviewer.
+func (d *Deadline) Preview(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
+	v := d.judge(now, r, f, c, q)
+	if v.Admit && !r.Tagged {
+		d.setTag(r)
+	}
+	return v
+}
+
+func (d *Deadline) judge(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
 	if c.Prefill == policy.None {
 		if v := admitWithoutUpstream(now, r, f, d.clampRetryAfter(time.Second), q); !v.Admit {
 			return v
@@ -106,7 +128,6 @@
 			return policy.Verdict{Code: result.CannotMeetDeadline, RetryAfter: d.clampRetryAfter(late)}
 		}
 	}
-	d.assignTag(r)
 	return policy.Verdict{Admit: true}
 }
 
@@ -143,14 +164,17 @@
 		return
 	}
 	r.Tagged = true
-	start := max(d.virtualTime, d.virtualFinish[r.Caller])
-	r.Tag = start
+	d.setTag(r)
 	weight := r.Weight
 	if weight <= 0 {
 		weight = 1
 	}
-	d.virtualFinish[r.Caller] = start + (float64(r.PromptTokens)+r.ExpectedOutput)/weight
-	r.Bucket = int64(start / d.Quantum)
+	d.virtualFinish[r.Caller] = r.Tag + (float64(r.PromptTokens)+r.ExpectedOutput)/weight
+}
+
+func (d *Deadline) setTag(r *policy.Request) {
+	r.Tag = max(d.virtualTime, d.virtualFinish[r.Caller])
+	r.Bucket = int64(r.Tag / d.Quantum)
 }
 
 func (d *Deadline) clampRetryAfter(t time.Duration) time.Duration {
--- a/policy/admission/objective.go
+++ b/policy/admission/objective.go
@@ -61,15 +61,33 @@
 
 // Admit implements policy.Admitter. It changes no rank, since r may be queued.
 func (o *Objective) Admit(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
+	v := o.judge(now, r, f, c, q)
+	if c.Prefill != policy.None && r.FirstTokenTarget > 0 {
+		o.learnKind(r, c)
+	}
+	if !v.Admit {
+		o.metrics.refused(v.Code)
+		return v
+	}
+	o.admitted(r)
+	return v
+}
+
+// Preview implements policy.AdmissionPreviewer.
+func (o *Objective) Preview(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
+	v := o.judge(now, r, f, c, q)
+	r.Share, r.Late = o.shares.usedAfterJoin(r), isLate(now, r)
+	return v
+}
+
+// judge returns the verdict on r and sets r.LateAt.
+func (o *Objective) judge(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
 	if c.Prefill == policy.None {
-		if v := admitWithoutUpstream(now, r, f, o.retryAfter(r, 0), q); !v.Admit {
-			return o.refuse(v)
-		}
-		if !r.Tagged {
+		v := admitWithoutUpstream(now, r, f, o.retryAfter(r, 0), q)
+		if v.Admit && !r.Tagged {
 			r.LateAt = r.FirstTokenTarget
 		}
-		o.admitted(r)
-		return policy.Verdict{Admit: true}
+		return v
 	}
 	g, a := o.shares.find(r)
 	expected := time.Duration(o.Margin * float64(c.FirstToken))
@@ -83,12 +101,11 @@
 	}
 	if now+max(expected, wait) > r.GiveUpAt() {
 		wait = max(wait, backlogTime(r, c))
-		return o.refuse(policy.Verdict{Code: result.CannotMeetDeadline, RetryAfter: o.retryAfter(r, wait)})
+		return policy.Verdict{Code: result.CannotMeetDeadline, RetryAfter: o.retryAfter(r, wait)}
 	}
 	if waits && !r.Tagged && g.holdsTooMuch(a, q) {
-		return o.refuse(policy.Verdict{Code: result.Overloaded, RetryAfter: o.retryAfter(r, wait)})
+		return policy.Verdict{Code: result.Overloaded, RetryAfter: o.retryAfter(r, wait)}
 	}
-	o.admitted(r)
 	return policy.Verdict{Admit: true}
 }
 
@@ -100,18 +117,29 @@
 // expectedOfKind returns the time to the first output that is expected for a request of r's class of mean size. Large requests of a class
 // would otherwise be late sooner than small ones, and hardly be served at a peak.
 func (o *Objective) expectedOfKind(r *policy.Request, c policy.Choice) time.Duration {
+	mean, _ := o.meanOfKind(r, c)
+	wait := backlogTime(r, c)
+	return wait + time.Duration(float64(c.FirstToken-wait)*mean/r.Work(c.Cached))
+}
+
+// meanOfKind returns the mean size of the requests of r's class, including r, and whether it is to be kept.
+func (o *Objective) meanOfKind(r *policy.Request, c policy.Choice) (mean float64, keep bool) {
 	work := r.Work(c.Cached)
 	mean, ok := o.kinds[r.Class]
 	if !ok || mean == 0 {
 		mean = work
 	}
-	if !r.Tagged && (ok || len(o.kinds) < maxKinds) {
+	if keep = !r.Tagged && (ok || len(o.kinds) < maxKinds); keep {
 		const smoothing = 0.05
 		mean += smoothing * (work - mean)
+	}
+	return mean, keep
+}
+
+func (o *Objective) learnKind(r *policy.Request, c policy.Choice) {
+	if mean, keep := o.meanOfKind(r, c); keep {
 		o.kinds[r.Class] = mean
 	}
-	wait := backlogTime(r, c)
-	return wait + time.Duration(float64(c.FirstToken-wait)*mean/work)
 }
 
 // maxKinds bounds the classes whose mean size is kept.
@@ -141,11 +169,6 @@
 	}
 }
 
-func (o *Objective) refuse(v policy.Verdict) policy.Verdict {
-	o.metrics.refused(v.Code)
-	return v
-}
-
 // retryAfter returns a RetryAfter of about wait. It differs between requests, so that those refused together do not return together.
 func (o *Objective) retryAfter(r *policy.Request, wait time.Duration) time.Duration {
 	wait = boundRetry(wait, o.MinRetryMS, o.MaxRetryMS)
@@ -158,7 +181,7 @@
 	if a != nil {
 		r.Share = a.used
 	}
-	late := r.Generated == 0 && r.LateAt > 0 && now >= r.LateAt
+	late := isLate(now, r)
 	if r.Tagged && late != r.Late {
 		if late {
 			g.late++
@@ -173,6 +196,11 @@
 	return r.LateAt
 }
 
+// isLate reports whether r can't meet its target any more.
+func isLate(now time.Duration, r *policy.Request) bool {
+	return r.Generated == 0 && r.LateAt > 0 && now >= r.LateAt
+}
+
 // Changes implements policy.OrderChanger.
 func (o *Objective) Changes() uint64 { return o.shares.changes }
 
--- a/policy/admission/objective_test.go
+++ b/policy/admission/objective_test.go
@@ -96,8 +96,7 @@
 	o := load(t, "admission.objective").(*Objective)
 	serve := func(account string, tokens int) float64 {
 		r := &policy.Request{Model: "m", Caller: account, PromptTokens: tokens, Generated: 1, Deadline: time.Hour}
-		g, _ := o.shares.find(r)
-		a := g.account(r)
+		a := o.shares.group(r).account(r)
 		before := a.used
 		o.Dispatched(0, r)
 		o.Done(0, r, 0)
--- a/policy/admission/patience.go
+++ b/policy/admission/patience.go
@@ -53,6 +53,11 @@
 	return policy.Verdict{Admit: true}
 }
 
+// Preview implements policy.AdmissionPreviewer.
+func (p *Patience) Preview(now time.Duration, r *policy.Request, f *policy.Fleet, c policy.Choice, q policy.QueueView) policy.Verdict {
+	return p.Admit(now, r, f, c, q)
+}
+
 func (p *Patience) retryAfter(late time.Duration) time.Duration {
 	return boundRetry(late, p.MinRetryMS, p.MaxRetryMS)
 }
--- a/policy/admission/shares.go
+++ b/policy/admission/shares.go
@@ -55,9 +55,13 @@
 	return g
 }
 
-// find returns the group of r and its account, or nil if the account has no counter.
+// find returns the group of r, an empty one if none of its requests has been admitted yet, and its account, or nil if the account
+// has no counter. It changes nothing.
 func (s *shares) find(r *policy.Request) (*shareGroup, *shareAccount) {
-	g := s.group(r)
+	g, ok := s.groups[shareKey{r.BudgetKey(), priorityLevel(r)}]
+	if !ok {
+		return &shareGroup{}, nil
+	}
 	return g, g.accounts[accountName(r)]
 }
 
@@ -110,13 +114,30 @@
 	g := s.group(r)
 	a := g.account(r)
 	if a.waiting == 0 {
-		a.used = max(a.used, g.start())
+		a.used = g.usedAfterJoin(a)
 		g.active++
 	}
 	a.waiting++
 	g.waiting++
 }
 
+// usedAfterJoin returns the counter of an account when one more of its requests waits.
+func (g *shareGroup) usedAfterJoin(a *shareAccount) float64 {
+	if a.waiting > 0 {
+		return a.used
+	}
+	return max(a.used, g.start())
+}
+
+// usedAfterJoin returns the counter that r's account would have after join.
+func (s *shares) usedAfterJoin(r *policy.Request) float64 {
+	g, a := s.find(r)
+	if a == nil {
+		a = &shareAccount{}
+	}
+	return g.usedAfterJoin(a)
+}
+
 // leave records that r no longer waits.
 func (s *shares) leave(r *policy.Request) {
 	g := s.group(r)
--- a/policy/health/none.go
+++ b/policy/health/none.go
@@ -33,6 +33,9 @@
 // Excluded implements policy.HealthTracker.
 func (*None) Excluded(time.Duration, int) bool { return false }
 
+// WouldExclude implements policy.ExclusionPreviewer.
+func (*None) WouldExclude(time.Duration, int) bool { return false }
+
 // Probe implements policy.HealthTracker.
 func (*None) Probe(time.Duration, int, *policy.Request) bool { return false }
 
--- a/policy/health/reachable.go
+++ b/policy/health/reachable.go
@@ -81,10 +81,20 @@
 
 // Excluded implements policy.HealthTracker.
 func (h *Reachable) Excluded(now time.Duration, i int) bool {
+	return h.isOut(now, i) || h.Relative.Excluded(now, i)
+}
+
+// WouldExclude implements policy.ExclusionPreviewer.
+func (h *Reachable) WouldExclude(now time.Duration, i int) bool {
+	return h.isOut(now, i) || h.Relative.WouldExclude(now, i)
+}
+
+// isOut reports whether upstream i is silent, unreachable or stalled.
+func (h *Reachable) isOut(now time.Duration, i int) bool {
 	if s, ok := h.silent[i]; ok && now < s.until {
 		return true
 	}
-	return i < len(h.outages) && (now < h.outages[i].unreachableUntil || now < h.outages[i].stalledUntil) || h.Relative.Excluded(now, i)
+	return i < len(h.outages) && (now < h.outages[i].unreachableUntil || now < h.outages[i].stalledUntil)
 }
 
 // Reason implements policy.Reasoner.
--- a/policy/health/relative.go
+++ b/policy/health/relative.go
@@ -226,13 +226,23 @@
 	if i >= len(h.upstreams) || !h.upstreams[i].excluded {
 		return false
 	}
-	if s := &h.upstreams[i]; now-s.lastProbe > time.Duration(h.TrialMS)*time.Millisecond {
-		*s = state{factor: 1, used: true}
+	if h.trialDue(now, i) {
+		h.upstreams[i] = state{factor: 1, used: true}
 		return false
 	}
 	return true
 }
 
+// WouldExclude implements policy.ExclusionPreviewer.
+func (h *Relative) WouldExclude(now time.Duration, i int) bool {
+	return i < len(h.upstreams) && h.upstreams[i].excluded && !h.trialDue(now, i)
+}
+
+// trialDue reports whether the excluded upstream i gets ordinary work again because it has not been probed for long.
+func (h *Relative) trialDue(now time.Duration, i int) bool {
+	return now-h.upstreams[i].lastProbe > time.Duration(h.TrialMS)*time.Millisecond
+}
+
 // Probe implements policy.HealthTracker. The scheduler sends a probe as a second attempt beside an ordinary one, so it
 // delays no request.
 func (h *Relative) Probe(now time.Duration, i int, r *policy.Request) bool {
--- a/policy/routing/measured.go
+++ b/policy/routing/measured.go
@@ -49,7 +49,8 @@
 	StrictPaceOnly bool `json:"strict_pace_only"`
 	// Spill decides which requests go to another data centre, in place of DistanceMS; nil: DistanceMS applies.
 	Spill policy.Spill `json:"-"`
-	// Heard returns the data centres whose entry VMs have been heard from recently, and whether no other VM has; nil: all are.
+	// Heard returns the data centres whose entry VMs have been heard from recently, and whether no other VM has; nil: all are. The
+	// router keeps the answer for heardInterval.
 	Heard func() (dataCentres map[string]bool, alone bool) `json:"-"`
 
 	state        uint64
@@ -60,6 +61,7 @@
 	spill        spillState
 	strictPace   bool // of the engines of the request in hand
 	sample       sampleState
+	inspector    policy.Inspector // of a preview; otherwise nil
 }
 
 type engineRate struct {
@@ -269,6 +271,9 @@
 			q.score += 1
 		}
 		q.score -= permitBonus(u)
+		if p.inspector != nil && !lacksPermit {
+			p.inspector.Compared(p.costOf(now, r, q))
+		}
 		switch {
 		case lacksPermit && q.score < leastWithPermit:
 			withPermit, leastWithPermit = u, q.score
@@ -337,7 +342,7 @@
 func (p *Measured) planWithFetch(now time.Duration, r *policy.Request, u *policy.Upstream, q plan, holder *policy.Upstream, held int) plan {
 	rate := p.rate(now, u)
 	q.firstToken -= (r.Work(q.cached) - r.Work(held)) / rate
-	q.firstToken += p.FetchMS/1000 + p.moveSeconds(float64((held-q.cached)*policy.PieceTokens), holder, u)
+	q.firstToken += p.fetchSeconds(held-q.cached, holder, u)
 	q.cached, q.source = held, holder
 	return q
 }
@@ -461,39 +466,3 @@
 	}
 	p.meanHeld += smoothing * (need - p.meanHeld)
 }
-
-// routeService routes a call of a plain service to the server with the least load relative to its speed.
-func (p *Measured) routeService(now time.Duration, r *policy.Request, f *policy.Fleet, list []int) policy.Choice {
-	best, withPermit := (*policy.Upstream)(nil), (*policy.Upstream)(nil)
-	least, leastWithPermit := math.Inf(1), math.Inf(1)
-	for relaxed := range 2 {
-		for _, i := range list {
-			u := f.Upstreams[i]
-			lacksPermit := u.LacksPermit(r)
-			if !lacksPermit && !u.CanTake(r) || relaxed == 0 && (r.Avoids(i) || f.Health.Excluded(now, i)) {
-				continue
-			}
-			t := serviceEstimate(u, f.Health.Factor(i)).firstToken + p.tieBreak() - permitBonus(u)
-			switch {
-			case lacksPermit && t < leastWithPermit:
-				withPermit, leastWithPermit = u, t
-			case !lacksPermit && t < least:
-				best, least = u, t
-			}
-		}
-		if best != nil {
-			break
-		}
-	}
-	if leastWithPermit >= least {
-		withPermit = nil
-	}
-	if best == nil {
-		return policy.Choice{Prefill: policy.None, Decode: policy.None, WithPermit: withPermit}
-	}
-	full := float64(best.OwnRunning+best.OtherRunning()) >= p.Oversubscribe*float64(max(best.Spec.MaxBatch, 1))
-	return policy.Choice{
-		Prefill: best.Index, Decode: best.Index, FirstToken: seconds(least + permitBonus(best)), Finish: seconds(least + permitBonus(best)), Defer: full,
-		WithPermit: withPermit,
-	}
-}
--- a/policy/routing/spill.go
+++ b/policy/routing/spill.go
@@ -14,11 +14,17 @@
 	loads     []policy.DataCentreLoad
 	plannedAt map[string]time.Duration // by model
 	inside    bool                     // plans are compared inside one data centre, so that no charge counts
+	// The last answer of Heard.
+	heard   map[string]bool
+	alone   bool
+	heardAt time.Duration
 }
 
 const (
 	// spillPlanInterval is the time between two plans, a fraction of the least time constant of the shares.
 	spillPlanInterval = 20 * time.Millisecond
+	// heardInterval is the time between two calls of Heard, which copies the member table. Members become suspects after seconds.
+	heardInterval = 250 * time.Millisecond
 	// nearlyFull is the share of occupied slots from which a wait for a slot is expected, up to fullWait, which is also what a plan
 	// for a full engine is charged.
 	nearlyFull = 0.9
@@ -101,18 +107,17 @@
 		return
 	}
 	s.plannedAt[r.Model] = now
-	var heard map[string]bool
-	alone := false
-	if p.Heard != nil {
-		heard, alone = p.Heard()
+	if p.Heard != nil && (s.heard == nil || now-s.heardAt > heardInterval) {
+		s.heard, s.alone = p.Heard()
+		s.heardAt = now
 	}
 	s.loads = s.loads[:0]
 	for _, dc := range s.order {
 		l := p.loadOf(now, f, s.lists[dc])
-		l.DataCentre, l.Heard = dc, p.Heard == nil || heard[dc]
+		l.DataCentre, l.Heard = dc, p.Heard == nil || s.heard[dc]
 		s.loads = append(s.loads, l)
 	}
-	p.Spill.Plan(now, r.Model, p.DataCentre, s.loads, alone)
+	p.Spill.Plan(now, r.Model, p.DataCentre, s.loads, s.alone)
 }
 
 // loadOf returns the load of one data centre's engines. The wait is the prompt tokens in hand against the engines' rates, and what
--- a/policy/routing/spread.go
+++ b/policy/routing/spread.go
@@ -25,7 +25,13 @@
 	var seen [2]int
 	for _, i := range list {
 		u := f.Upstreams[i]
-		if !u.CanTake(r) && !u.LacksPermit(r) || r.Avoids(i) || f.Health.Excluded(now, i) || u.Role != topo.RolePrefill && p.isFull(r, u) {
+		if !u.CanTake(r) && !u.LacksPermit(r) || r.Avoids(i) || f.Health.Excluded(now, i) {
+			continue
+		}
+		if u.Role != topo.RolePrefill && p.isFull(r, u) {
+			if p.inspector != nil {
+				p.inspector.SkippedFull(u)
+			}
 			continue
 		}
 		// Reservoir sampling: each engine of a class is drawn with the same probability.
--- a/policy/spill/spill.go
+++ b/policy/spill/spill.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"bergamotcroft.example/bergamot/kernel"
@@ -96,6 +97,17 @@
 	return nil
 }
 
+// Preview implements policy.SpillPreviewer.
+func (p *Gain) Preview() policy.Spill {
+	c := *p
+	c.OnChange, c.OnSent = nil, nil
+	c.models = make(map[string]*shares, len(p.models))
+	for model, s := range p.models {
+		c.models[model] = &shares{plannedAt: s.plannedAt, here: s.here, to: slices.Clone(s.to)}
+	}
+	return &c
+}
+
 // Plan implements policy.Spill.
 func (p *Gain) Plan(now time.Duration, model, here string, loads []policy.DataCentreLoad, alone bool) {
 	s := p.models[model]
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -203,6 +203,15 @@
 	return 0
 }
 
+// cachedOrFetched returns the leading pieces of r's prompt that need not be computed.
+func (s *Scheduler) cachedOrFetched(r *policy.Request, c *policy.Choice) int {
+	n := s.cachedPieces(r, c.Prefill)
+	if c.Source != nil {
+		n = max(n, c.Cached)
+	}
+	return n
+}
+
 // insertPrefix records the pieces that upstream i is about to compute in its prefix index, before its cache events
 // arrive.
 func (s *Scheduler) insertPrefix(now time.Duration, r *policy.Request, i int) {
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -38,14 +38,16 @@
 	}
 }
 
-// recordDispatch records that a request is about to be dispatched, and drops the source of a fetch if it is left out: a fetch from a
-// silent engine would hold up the prompt at the other one.
+// recordDispatch records that a request is about to be dispatched.
 func (s *Scheduler) recordDispatch(now time.Duration, c *policy.Choice) {
-	if s.silence == nil {
-		return
+	if s.silence != nil {
+		s.silence.Sent(now, c.Prefill)
 	}
-	s.silence.Sent(now, c.Prefill)
-	if c.Source != nil && s.opts.Health.Excluded(now, c.Source.Index) {
+}
+
+// dropSource drops the source of a fetch if it is left out: a fetch from a silent engine would hold up the prompt at the other one.
+func (s *Scheduler) dropSource(now time.Duration, c *policy.Choice, h policy.HealthTracker) {
+	if s.silence != nil && c.Source != nil && h.Excluded(now, c.Source.Index) {
 		c.Source = nil
 	}
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -138,14 +138,22 @@
 	q.departureInterval += time.Duration(smoothing * float64(gap-q.departureInterval))
 }
 
-func (s *Scheduler) queueFor(r *policy.Request) *queue {
-	key := "m:" + r.Model
+func queueKey(r *policy.Request) string {
 	if r.Service != "" {
-		key = "s:" + r.Service
+		return "s:" + r.Service
 	}
+	return "m:" + r.Model
+}
+
+func (s *Scheduler) newQueue(key string) *queue {
+	return &queue{key: key, less: s.less, ranker: s.ranker, rankedUntil: math.MaxInt64}
+}
+
+func (s *Scheduler) queueFor(r *policy.Request) *queue {
+	key := queueKey(r)
 	q, ok := s.queues[key]
 	if !ok {
-		q = &queue{key: key, less: s.less, ranker: s.ranker, rankedUntil: math.MaxInt64}
+		q = s.newQueue(key)
 		s.queues[key] = q
 		at, _ := slices.BinarySearchFunc(s.sortedQueues, key, func(q *queue, k string) int { return strings.Compare(q.key, k) })
 		s.sortedQueues = slices.Insert(s.sortedQueues, at, q)
--- a/scheduler/quiet.go
+++ b/scheduler/quiet.go
@@ -135,7 +135,7 @@
 	var ahead [policy.ShareLevels]int
 	for _, r := range list {
 		view := s.queueView(now, q, r, ahead[r.ShareLevel()])
-		if v := s.admit(now, r, none, view); v.Admit {
+		if v := s.admit(now, r, none, view, &s.policies); v.Admit {
 			ahead[r.ShareLevel()]++
 		} else if q.remove(r) {
 			s.queued--
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -37,6 +37,7 @@
 // Scheduler is the state machine of one entry VM.
 type Scheduler struct {
 	opts           Options
+	policies       policies
 	fleet          policy.Fleet
 	byName         map[string]int
 	queues         map[string]*queue
@@ -75,6 +76,7 @@
 		limits:       map[uint64]*limitState{},
 	}
 	s.fleet.Health = o.Health
+	s.policies = policies{fleet: &s.fleet, router: o.Router, admitter: o.Admitter}
 	s.ranker, _ = o.Admitter.(policy.OrderChanger)
 	if o.MoveOverduePrompts {
 		s.silence, _ = o.Health.(policy.SilenceTracker)
@@ -96,15 +98,57 @@
 	s.actions = s.actions[:0]
 	s.endQuiet(now)
 	s.expirePermits(now)
-	r.Prefill, r.Decode, r.Avoid, r.InFlightIndex = policy.None, policy.None, policy.None, policy.None
-	r.AvoidDecode, r.HedgePrefill, r.HedgeDecode = policy.None, policy.None, policy.None
-	s.expectOutput(now, r)
+	s.prepare(now, r)
 	s.opts.Retry.Arrived(now, r)
 	s.place(now, r, 0)
 	s.mixMeterFor(r.Model).addOffered(now, r)
 	return s.actions
 }
 
+// prepare sets the fields of a new request that the scheduler keeps.
+func (s *Scheduler) prepare(now time.Duration, r *policy.Request) {
+	r.Prefill, r.Decode, r.Avoid, r.InFlightIndex = policy.None, policy.None, policy.None, policy.None
+	r.AvoidDecode, r.HedgePrefill, r.HedgeDecode = policy.None, policy.None, policy.None
+	s.expectOutput(now, r)
+}
+
+// policies are what decides on a request: the scheduler's policies, or previews of them.
+type policies struct {
+	fleet    *policy.Fleet
+	router   policy.Router
+	admitter interface {
+		Admit(time.Duration, *policy.Request, *policy.Fleet, policy.Choice, policy.QueueView) policy.Verdict
+	}
+}
+
+// judge returns the choice of upstreams for r, which is not queued, and the verdict on it.
+func (s *Scheduler) judge(now time.Duration, q *queue, r *policy.Request, p *policies) (policy.Choice, policy.QueueView, policy.Verdict) {
+	c := p.router.Route(now, r, p.fleet)
+	r.Cached = c.Cached
+	view := s.queueView(now, q, r, s.aheadOf(q, r))
+	return c, view, s.admit(now, r, c, view, p)
+}
+
+// step is what is done with an admitted request.
+type step int
+
+const (
+	dispatchNow step = iota
+	wait
+	refuseQueueFull
+)
+
+// nextStep returns what is done with r, which has been admitted and ranked, for a choice of upstreams.
+func (s *Scheduler) nextStep(q *queue, r *policy.Request, c policy.Choice) step {
+	switch {
+	case s.mayGo(r, c) && !q.hasRequestBefore(r):
+		return dispatchNow
+	case s.queued >= s.opts.QueueCapacity && r.Generated == 0 && !r.Suspect:
+		return refuseQueueFull
+	}
+	return wait
+}
+
 // place dispatches, queues or refuses r.
 func (s *Scheduler) place(now time.Duration, r *policy.Request, delay time.Duration) {
 	if now >= r.GiveUpAt() && r.Generated == 0 {
@@ -118,20 +162,18 @@
 		s.queued++
 		return
 	}
-	choice := s.opts.Router.Route(now, r, &s.fleet)
+	choice, view, v := s.judge(now, q, r, &s.policies)
 	s.recordMissed(now, choice)
-	r.Cached = choice.Cached
-	view := s.queueView(now, q, r, s.aheadOf(q, r))
-	if v := s.admit(now, r, choice, view); !v.Admit {
+	if !v.Admit {
 		s.refuseQueued(now, q, r, v, view)
 		return
 	}
 	q.rank(now, r)
-	if choice.Prefill != policy.None && !s.shouldWait(r, choice) && !q.hasRequestBefore(r) {
+	switch s.nextStep(q, r, choice) {
+	case dispatchNow:
 		s.dispatch(now, r, choice, delay)
 		return
-	}
-	if s.queued >= s.opts.QueueCapacity && r.Generated == 0 && !r.Suspect {
+	case refuseQueueFull:
 		s.refuse(now, r, result.Overloaded, s.retryAfter(view))
 		return
 	}
@@ -141,11 +183,16 @@
 		s.updateOrder(q)
 	}
 	s.queued++
-	if choice.Prefill != policy.None && !s.shouldWait(r, choice) {
+	if s.mayGo(r, choice) {
 		s.drainQueue(now, q)
 	}
 }
 
+// mayGo reports whether r may be sent to the upstreams of a choice, but for the order of the queue.
+func (s *Scheduler) mayGo(r *policy.Request, c policy.Choice) bool {
+	return c.Prefill != policy.None && !s.shouldWait(r, c)
+}
+
 // shouldWait reports whether r stays in the queue although an upstream could take it. A request whose answer has begun
 // does not wait for the load to fall, unless it was preempted in favour of other requests.
 func (s *Scheduler) shouldWait(r *policy.Request, c policy.Choice) bool {
@@ -155,23 +202,21 @@
 // admit asks the admitter for a verdict. It always admits requests whose answer has begun, since a refusal would cut
 // the answer, and suspects, which were admitted before the crash. An answer that can't go on, as no upstream of its version
 // serves, is cut at once.
-func (s *Scheduler) admit(now time.Duration, r *policy.Request, c policy.Choice, v policy.QueueView) policy.Verdict {
+func (s *Scheduler) admit(now time.Duration, r *policy.Request, c policy.Choice, v policy.QueueView, p *policies) policy.Verdict {
 	if r.Version != "" && r.Generated > 0 && !s.fleet.AnyServing(r) {
 		return policy.Verdict{Code: result.AnswerIncomplete}
 	}
 	if r.Generated > 0 || r.Suspect {
 		return policy.Verdict{Admit: true}
 	}
-	return s.opts.Admitter.Admit(now, r, &s.fleet, c, v)
+	return p.admitter.Admit(now, r, p.fleet, c, v)
 }
 
 func (s *Scheduler) dispatch(now time.Duration, r *policy.Request, c policy.Choice, delay time.Duration) {
 	s.recordDispatch(now, &c)
+	s.dropSource(now, &c, s.opts.Health)
 	r.Prefill, r.Decode = c.Prefill, c.Decode
-	r.Cached, r.Backlog, r.PromptDone = s.cachedPieces(r, c.Prefill), c.Backlog, false
-	if c.Source != nil {
-		r.Cached = max(r.Cached, c.Cached)
-	}
+	r.Cached, r.Backlog, r.PromptDone = s.cachedOrFetched(r, &c), c.Backlog, false
 	r.Dispatched = now + delay
 	r.ExpectedFirst, r.ExpectedFinish = c.FirstToken, c.Finish
 	r.NominalFirst = time.Duration(float64(c.FirstToken) / max(s.opts.Health.Factor(c.Prefill), 1))
@@ -415,76 +460,3 @@
 	s.drain(now)
 	return s.actions
 }
-
-// maxFailedRoutes limits the requests that one drain of a queue routes without success, so that a long queue costs
-// little.
-const maxFailedRoutes = 8
-
-// drain dispatches the queued requests that an upstream can take now. A request that must wait does not block those
-// behind it.
-func (s *Scheduler) drain(now time.Duration) {
-	for _, q := range s.sortedQueues {
-		s.drainQueue(now, q)
-	}
-}
-
-func (s *Scheduler) drainQueue(now time.Duration, q *queue) {
-	s.updateOrder(q)
-	kept := s.requeue[:0]
-	suspectsWait := false
-	for tries := 0; tries < maxFailedRoutes && q.Len() > 0; {
-		q.rerank(now)
-		r := q.pop()
-		if r.Suspect && suspectsWait {
-			kept = append(kept, r) // no upstream is free for a suspect; skip it without counting a try
-			continue
-		}
-		if s.leaveQueue(now, q, r, kept) {
-			continue
-		}
-		if r.Suspect {
-			suspectsWait = true
-		} else {
-			tries++
-		}
-		kept = append(kept, r)
-	}
-	for _, r := range kept {
-		q.push(now, r)
-	}
-	s.requeue = kept
-}
-
-// leaveQueue dispatches or refuses r, which has been popped from q after requests that keep waiting. It returns false if r must
-// keep waiting, too.
-func (s *Scheduler) leaveQueue(now time.Duration, q *queue, r *policy.Request, kept []*policy.Request) bool {
-	if now >= r.GiveUpAt() && r.Generated == 0 {
-		s.queued--
-		s.refuse(now, r, result.CannotMeetDeadline, time.Second)
-		return true
-	}
-	if now < r.HoldUntil {
-		return false
-	}
-	c := s.opts.Router.Route(now, r, &s.fleet)
-	ahead := 0
-	for _, other := range kept {
-		if other.ShareLevel() == r.ShareLevel() {
-			ahead++
-		}
-	}
-	view := s.queueView(now, q, r, ahead)
-	if v := s.admit(now, r, c, view); !v.Admit {
-		s.queued--
-		s.refuseQueued(now, q, r, v, view)
-		return true
-	}
-	if c.Prefill == policy.None || s.shouldWait(r, c) {
-		return false
-	}
-	s.queued--
-	q.fair.left(r)
-	q.recordDeparture(now)
-	s.dispatch(now, r, c, 0)
-	return true
-}
