forward, gateway, versions: answer where a request would go, without sending it

Front.Explain runs receive, which serve uses too, finds the account by name, and asks the scheduler in its goroutine. The version of a resumable stream is asked for by Keeper.Preview, which shares decideBegin and continues with Begin and Continue and waits for no plan. Refused keys and streams are not counted.

--- a/accounts/accounts.go
+++ b/accounts/accounts.go
@@ -74,6 +74,21 @@
 	return found, found != nil
 }
 
+// Named returns the account of this name that has a key. It goes through all accounts.
+func (x *Index) Named(name string) (*topo.Account, bool) {
+	if x == nil || name == "" {
+		return nil, false
+	}
+	for _, group := range x.byPrefix {
+		for i := range group {
+			if group[i].account.Caller == name {
+				return group[i].account, true
+			}
+		}
+	}
+	return nil, false
+}
+
 // HashKey returns the SHA-256 of an API key in the form of topo.Account.KeySHA.
 func HashKey(key string) string {
 	hash := sha256.Sum256([]byte(key))
--- a/forward/accounts.go
+++ b/forward/accounts.go
@@ -22,7 +22,7 @@
 	}
 	x.call.Caller = ""
 	reason := keyUnknown
-	if x.call.Key == "" {
+	if x.call.Key == "" && (x.query == nil || x.query.Account == "") {
 		reason = keyMissing
 	}
 	var err *result.Error
@@ -35,26 +35,40 @@
 // lookUp returns the account of the request's key in a table with accounts; nil: none, and the route needs none. reason is why the key
 // is refused if no account has it.
 func (x *exchange) lookUp(t *routes.Table, reason string) (*topo.Account, *result.Error) {
-	if a, ok := t.Accounts.Lookup(x.call.Key); ok {
+	if a, ok := x.accountIn(t); ok {
 		return a, nil
 	}
 	if x.isPublic(t) {
 		return nil, nil
 	}
 	if !x.f.opts.ConfigurationConfirmed() {
-		x.f.metrics.refusedKeys(keyUnconfirmed).Inc()
+		x.countRefusedKey(keyUnconfirmed)
 		return nil, errUnconfirmed()
 	}
 	// The table in force now is at least as new as the confirmation; t may have been replaced before it.
 	if now := x.f.opts.Table(); now != nil && now != t {
-		if a, ok := now.Accounts.Lookup(x.call.Key); ok || now.Accounts == nil || x.isPublic(now) {
+		if a, ok := x.accountIn(now); ok || now.Accounts == nil || x.isPublic(now) {
 			return a, nil
 		}
 	}
-	x.f.metrics.refusedKeys(reason).Inc()
+	x.countRefusedKey(reason)
 	return nil, result.New(result.KeyRefused, "the API key is %s", reason)
 }
 
+// accountIn returns the account of the request's key, or of a query's account name, in a table.
+func (x *exchange) accountIn(t *routes.Table) (*topo.Account, bool) {
+	if x.query != nil {
+		return t.Accounts.Named(x.query.Account)
+	}
+	return t.Accounts.Lookup(x.call.Key)
+}
+
+func (x *exchange) countRefusedKey(reason string) {
+	if x.query == nil {
+		x.f.metrics.refusedKeys(reason).Inc()
+	}
+}
+
 // isPublic reports whether a request of the exchange's route needs no key in a table that may be newer than the request.
 func (x *exchange) isPublic(t *routes.Table) bool {
 	if t != x.table {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -159,6 +159,7 @@
 	w           http.ResponseWriter
 	r           *http.Request
 	arrival     time.Time
+	query       *Query // nil for a real request
 	call        Call
 	account     *topo.Account // of the caller when the request arrived; nil: none
 	table       *routes.Table
@@ -207,38 +208,11 @@
 		// server's timeout applies.
 		_ = http.NewResponseController(x.w).SetReadDeadline(x.arrival.Add(bodyReadTimeout))
 	}
-	x.table = f.opts.Table()
-	if x.table == nil {
-		return result.New(result.StaleEntryVM, "this entry VM has no configuration yet").WithRetryAfter(notReadyRetryAfter)
-	}
-	x.uri = x.r.RequestURI
-	if x.route = x.table.Match(x.r.Host, x.path()); x.route == nil {
-		if !f.opts.ConfigurationConfirmed() {
-			return errUnconfirmed()
-		}
-		return result.New(result.UnknownRoute, "no route for this host and path")
-	}
-	var err, malformed *result.Error
-	x.call, malformed = f.opts.Codec.ParseCall(x.r)
-	if err = x.identify(); err != nil {
-		return err
-	}
-	if malformed != nil {
-		return malformed
-	}
-	if err = x.readBody(); err != nil {
-		return err
-	}
-	x.service = x.route.Pick(x.firstAttempt())
-	x.fingerprint = x.hashRequest()
-	if err = f.opts.Crashes.Check(x.fingerprint); err != nil {
+	err := x.receive(x.readBody)
+	if err != nil {
 		return err
 	}
 	parts := f.opts.Crashes.Parts()
-	x.parts = sharedParts(x.call.Parts)
-	if err = parts.Check(x.parts); err != nil {
-		return err
-	}
 	x.knownCrashes = parts.Known(x.parts)
 	ctx, cancel := x.withDeadline()
 	defer cancel()
@@ -275,6 +249,40 @@
 	return nil
 }
 
+// receive finds the route, the account and the service of the request, takes its body, and refuses what crashes upstreams.
+func (x *exchange) receive(takeBody func() *result.Error) *result.Error {
+	f := x.f
+	x.table = f.opts.Table()
+	if x.table == nil {
+		return result.New(result.StaleEntryVM, "this entry VM has no configuration yet").WithRetryAfter(notReadyRetryAfter)
+	}
+	x.uri = x.r.RequestURI
+	if x.route = x.table.Match(x.r.Host, x.path()); x.route == nil {
+		if !f.opts.ConfigurationConfirmed() {
+			return errUnconfirmed()
+		}
+		return result.New(result.UnknownRoute, "no route for this host and path")
+	}
+	var err, malformed *result.Error
+	x.call, malformed = f.opts.Codec.ParseCall(x.r)
+	if err = x.identify(); err != nil {
+		return err
+	}
+	if malformed != nil {
+		return malformed
+	}
+	if err = takeBody(); err != nil {
+		return err
+	}
+	x.service = x.route.Pick(x.firstAttempt())
+	x.fingerprint = x.hashRequest()
+	if err = f.opts.Crashes.Check(x.fingerprint); err != nil {
+		return err
+	}
+	x.parts = sharedParts(x.call.Parts)
+	return f.opts.Crashes.Parts().Check(x.parts)
+}
+
 // path returns the path of the request as it was sent.
 func (x *exchange) path() string {
 	path, _, _ := strings.Cut(x.uri, "?")
@@ -284,14 +292,23 @@
 // notReadyRetryAfter is short: other entry VMs have a confirmed configuration.
 const notReadyRetryAfter = 50 * time.Millisecond
 
+// bodyLimit returns the largest size of a body in bytes.
+func (x *exchange) bodyLimit() int64 {
+	if limit := x.table.Limits.BodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultBodyLimitBytes
+}
+
+func errBodyTooLarge(limit int64) *result.Error {
+	return result.New(result.BodyTooLarge, "the body may have %d bytes", limit)
+}
+
 // readBody reads the request's body within the limits on size and total body memory.
 func (x *exchange) readBody() *result.Error {
-	limit := x.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyLimitBytes
-	}
+	limit := x.bodyLimit()
 	if x.r.ContentLength > limit {
-		return result.New(result.BodyTooLarge, "the body may have %d bytes", limit)
+		return errBodyTooLarge(limit)
 	}
 	if x.r.ContentLength == 0 {
 		return nil
@@ -303,7 +320,7 @@
 	case errors.Is(err, errBodyMemory):
 		return result.New(result.Overloaded, "too many request bodies are held").WithRetryAfter(bodyMemoryRetryAfter)
 	case errors.As(err, &tooLarge):
-		return result.New(result.BodyTooLarge, "the body may have %d bytes", limit)
+		return errBodyTooLarge(limit)
 	case err != nil:
 		return result.New(result.RequestTooSlow, "the body did not arrive").WithCause(err)
 	}
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -24,6 +24,8 @@
 	Continue(ctx context.Context, service string, stream versions.StreamID, deadline time.Duration) (string, *result.Error)
 	// Began records that a stream has begun. It does not block.
 	Began(service string, stream versions.StreamID, version string)
+	// Preview returns what Begin, or Continue with takesUp, would, without a wait. It changes nothing.
+	Preview(service string, stream versions.StreamID, takesUp bool, deadline time.Duration) (string, *result.Error)
 }
 
 // takesUp reports whether the request takes up a stream that broke off.
@@ -37,10 +39,23 @@
 	return x.call.ID
 }
 
+// hasBoundVersion reports whether the request is a stream that runs at one version.
+func (x *exchange) hasBoundVersion() bool {
+	return x.route.Kind == routes.Stream && x.route.Resumable && x.f.opts.Versions != nil
+}
+
+// boundStream returns the stream whose version counts: UnknownStream for one that is taken up without naming its first attempt.
+func (x *exchange) boundStream() versions.StreamID {
+	if x.takesUp() && x.call.Resumes == "" {
+		return versions.UnknownStream
+	}
+	return versions.NewStreamID(x.service, x.firstAttempt())
+}
+
 // bindVersion sets the version at which a resumable stream runs. A request that takes up a stream is refused if the version of
 // its first events is not certain.
 func (x *exchange) bindVersion(ctx context.Context) (err *result.Error) {
-	if x.route.Kind != routes.Stream || !x.route.Resumable || x.f.opts.Versions == nil {
+	if !x.hasBoundVersion() {
 		return nil
 	}
 	x.stream = versions.NewStreamID(x.service, x.firstAttempt())
@@ -48,11 +63,7 @@
 		x.plannedVersion, err = x.f.opts.Versions.Begin(ctx, x.service, x.stream, x.call.Remaining)
 		return err
 	}
-	begun := x.stream
-	if x.call.Resumes == "" {
-		begun = versions.UnknownStream
-	}
-	version, err := x.f.opts.Versions.Continue(ctx, x.service, begun, x.call.Remaining)
+	version, err := x.f.opts.Versions.Continue(ctx, x.service, x.boundStream(), x.call.Remaining)
 	x.f.opts.Log.Info("stream taken up", zap.String("request", x.call.ID), zap.String("resumes", x.call.Resumes), zap.String("after", x.call.After),
 		zap.String("version", version), zap.Bool("certain", err == nil))
 	if err != nil {
--- a/versions/continue.go
+++ b/versions/continue.go
@@ -22,25 +22,17 @@
 		version, found := k.find(now, service, stream)
 		changed := k.changed
 		k.mu.Unlock()
-		switch found {
-		case byMemory:
-			continuedKnown.Inc()
-			return version, nil
-		case byPlan:
-			continuedPlanned.Inc()
-			return version, nil
-		case detached:
-			refusedTakeUps.Inc()
-			return "", result.New(result.ResumeNotAvailable, "this entry VM can't confirm the version of the stream's first events; use another one").WithRetryAfter(retryLater)
-		case uncertain:
-			refusedTakeUps.Inc()
-			// A retry would be refused as well; the caller has to begin anew.
-			return "", result.New(result.ResumeNotAvailable, "the version of the stream's first events is not known or not served").WithRetryAfter(deadline)
-		}
 		left := waitForPlan(version) - now.Sub(start)
-		if left <= 0 {
-			refusedTakeUps.Inc()
-			return "", result.New(result.ResumeNotAvailable, "the plan for the versions of %s is not known yet", service).WithRetryAfter(retryLater)
+		if found != unread || left <= 0 {
+			switch found {
+			case byMemory:
+				continuedKnown.Inc()
+			case byPlan:
+				continuedPlanned.Inc()
+			default:
+				refusedTakeUps.Inc()
+			}
+			return continues(service, version, found, deadline)
 		}
 		if !awaitChange(ctx, changed, left) {
 			return "", result.New(result.CallerGone, "the caller left").WithExecution(result.NotRun)
@@ -48,6 +40,20 @@
 	}
 }
 
+// continues returns the version at which a stream that is taken up goes on. An unread one has waited for the plans long enough.
+func continues(service, version string, found certainty, deadline time.Duration) (string, *result.Error) {
+	switch found {
+	case detached:
+		return "", result.New(result.ResumeNotAvailable, "this entry VM can't confirm the version of the stream's first events; use another one").WithRetryAfter(retryLater)
+	case uncertain:
+		// A retry would be refused as well; the caller has to begin anew.
+		return "", result.New(result.ResumeNotAvailable, "the version of the stream's first events is not known or not served").WithRetryAfter(deadline)
+	case unread:
+		return "", result.New(result.ResumeNotAvailable, "the plan for the versions of %s is not known yet", service).WithRetryAfter(retryLater)
+	}
+	return version, nil
+}
+
 // certainty tells how the version of a stream that is taken up is known.
 type certainty int
 
@@ -61,7 +67,7 @@
 
 // find returns the version at which a stream has begun and how it is known. The lock is held.
 func (k *Keeper) find(now time.Time, service string, stream StreamID) (string, certainty) {
-	s := k.service(service)
+	s := k.peek(service)
 	if hash, ok := k.started.version(now, stream); ok {
 		if version, serves := s.byHash(hash); serves {
 			return version, byMemory
--- a/versions/keeper.go
+++ b/versions/keeper.go
@@ -11,7 +11,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
-	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/store"
 )
 
@@ -206,11 +205,21 @@
 // beginVersion returns the version at which a stream begins now: that of the newest plan that no entry VM can be without, or, if
 // it is not served, that of the newest plan. The lock is held.
 func (k *Keeper) beginVersion(now time.Time, s *serviceState, stream StreamID) string {
-	for len(s.earlier) > 0 && (now.Sub(s.earlier[0].nextSince) >= confirmationWait || k.opts.Confirmed(s.earlier[0].nextRevision)) {
-		s.earlier = s.earlier[1:]
+	s.earlier = k.unconfirmed(now, s.earlier)
+	return s.pick(s.earlier, stream)
+}
+
+// unconfirmed returns those of the earlier plans whose next one an entry VM can still be without. The lock is held.
+func (k *Keeper) unconfirmed(now time.Time, earlier []earlierPlan) []earlierPlan {
+	for len(earlier) > 0 && (now.Sub(earlier[0].nextSince) >= confirmationWait || k.opts.Confirmed(earlier[0].nextRevision)) {
+		earlier = earlier[1:]
 	}
-	if len(s.earlier) > 0 {
-		if version := s.earlier[0].plan.Pick(stream); s.Serving[version] > 0 {
+	return earlier
+}
+
+func (s *serviceState) pick(earlier []earlierPlan, stream StreamID) string {
+	if len(earlier) > 0 {
+		if version := earlier[0].plan.Pick(stream); s.Serving[version] > 0 {
 			return version
 		}
 	}
@@ -256,49 +265,6 @@
 	}
 }
 
-// Begin returns the version at which a new stream begins, or "" if it may begin anywhere, as no upstream states a version. It
-// waits a moment for a plan with an upstream that serves. deadline is how long the caller waits for its answer.
-func (k *Keeper) Begin(ctx context.Context, service string, stream StreamID, deadline time.Duration) (string, *result.Error) {
-	start := k.opts.Clock.Now()
-	for {
-		k.mu.Lock()
-		k.lifetime = max(k.lifetime, min(deadline, maxLifetime))
-		s := k.service(service)
-		now := k.opts.Clock.Now()
-		known, changed, inContact := k.known, k.changed, k.inContact(now, cutOffTTL)
-		version := k.beginVersion(now, s, stream)
-		serves := s.Serving[version] > 0
-		anywhere, nowhere := len(s.Serving) == 0 && s.Unversioned > 0, len(s.Serving) == 0 && version != ""
-		k.mu.Unlock()
-		switch {
-		case known && version != "" && !inContact:
-			return "", result.New(result.StaleEntryVM, "this entry VM can't confirm the versions of %s; use another one", service).WithRetryAfter(retryLater)
-		case known && (serves || nowhere): // without any upstream, the scheduler refuses the request at once
-			return version, nil
-		case anywhere:
-			return "", nil
-		}
-		left := waitForPlan(version) - k.opts.Clock.Now().Sub(start)
-		if left <= 0 && version == "" {
-			return "", result.New(result.StaleEntryVM, "the plan for the versions of %s is not known yet", service).WithRetryAfter(retryLater)
-		}
-		if left <= 0 {
-			return "", result.New(result.NoUpstream, "no upstream of %s serves at version %.40q", service, version).WithRetryAfter(retryLater)
-		}
-		if !awaitChange(ctx, changed, left) {
-			return "", result.New(result.CallerGone, "the caller left").WithExecution(result.NotRun)
-		}
-	}
-}
-
-// waitForPlan returns how long a request waits for a plan, given the version by the plan that is known, or "".
-func waitForPlan(version string) time.Duration {
-	if version == "" {
-		return firstPlanWait
-	}
-	return planWait
-}
-
 // awaitChange waits until changed is closed or d has passed. It returns false if ctx has ended.
 func awaitChange(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
 	t := time.NewTimer(d)
