--- a/edge/edge.go
+++ b/edge/edge.go
@@ -24,6 +24,7 @@
 
 	"bergamotcroft.example/bergamot/catalog"
 	"bergamotcroft.example/bergamot/conns"
+	"bergamotcroft.example/bergamot/explain"
 	"bergamotcroft.example/bergamot/forward"
 	"bergamotcroft.example/bergamot/gateway"
 	"bergamotcroft.example/bergamot/ingress"
@@ -74,6 +75,7 @@
 	group             run.Group
 	objective         bool
 	takenAway         takenAway
+	queries           queryLimit
 	arrivals          arrivals          // used by the actor of capacity orders only
 	upstreamAddresses map[string]string // address by upstream name; used by followUpstreams only
 	leaving           atomic.Bool
@@ -428,9 +430,14 @@
 	e.log.Info("settings reloaded", zap.String("vm", s.VM), zap.Strings("seeds", s.Seeds))
 }
 
-// serveMetrics serves the metrics at /metrics.
+// serveMetrics serves the metrics at /metrics, and the queries of operators.
 func (e *Edge) serveMetrics(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/metrics" {
+	switch r.URL.Path {
+	case "/metrics":
+	case explain.PathRoute:
+		e.serveQuery(w, r, http.MethodPost, e.explainRoute)
+		return
+	default:
 		http.NotFound(w, r)
 		return
 	}
--- a/explain/route.go
+++ b/explain/route.go
@@ -112,3 +112,10 @@
 	Status       int    `json:"status,omitempty"`
 	RetryAfter   string `json:"retry_after,omitempty"` // seconds, as in the header
 }
+
+// QueryError is the answer to a query that the entry VM does not answer.
+type QueryError struct {
+	Code    int    `json:"code"`
+	Result  string `json:"result"`
+	Message string `json:"message"`
+}
