ctl: bergamotctl route, and the documentation of queries

The command asks an entry VM's metrics listener where a request would go now and prints the decision, the costs of the candidates and the reasons of the others.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -55,6 +55,9 @@
 	limit                         int
 	wait                          bool
 	logs                          []string
+	// Of queries to an entry VM's metrics listener.
+	address, method, path, body, account string
+	headers                              []string
 }
 
 // command is a subcommand and the function that runs it.
@@ -162,7 +165,22 @@
 	explainCommand.AddPositionalValue(&f.name, "ID", 1, true, "Identifier of the request")
 	explainCommand.StringSlice(&f.logs, "l", "log", "Log file; may be given several times; standard input when left out")
 	p.AttachSubcommand(explainCommand, 1)
-	return p, append(commands, command{sub: explainCommand, run: (*session).explain, local: true})
+	commands = append(commands, command{sub: explainCommand, run: (*session).explain, local: true})
+	return p, append(commands, newQueryCommands(p, f)...)
+}
+
+// newQueryCommands adds the commands that ask one entry VM what it would do now.
+func newQueryCommands(p *flaggy.Parser, f *flags) []command {
+	route := flaggy.NewSubcommand("route")
+	route.Description = "Show where a request would go now, and why. Nothing is sent."
+	route.AddPositionalValue(&f.method, "METHOD", 1, true, "Method of the request")
+	route.AddPositionalValue(&f.path, "PATH", 2, true, "Path of the request, with its query")
+	route.String(&f.address, "", "address", "Address of an entry VM's metrics")
+	route.String(&f.body, "", "body", "File with the body, - for standard input")
+	route.StringSlice(&f.headers, "", "header", `Header "Name: value"; may be given several times`)
+	route.String(&f.account, "", "account", "Name of the caller's account")
+	p.AttachSubcommand(route, 1)
+	return []command{{sub: route, run: (*session).route, local: true}}
 }
 
 // explain prints the events that the logs hold for one request.
