duty, roles, usage, scaling, lease, edge, ctl: who performs the duties, and what prevents it

Each controller publishes a report at the end of a step; GET /explain/duties and bergamotctl duties show it with the state of the lease: holder and fencing number, plans, orders due, orders without an answer, and what holds orders back with the time left. A query calls nothing and reads no state of a controller.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -180,7 +180,11 @@
 	route.StringSlice(&f.headers, "", "header", `Header "Name: value"; may be given several times`)
 	route.String(&f.account, "", "account", "Name of the caller's account")
 	p.AttachSubcommand(route, 1)
-	return []command{{sub: route, run: (*session).route, local: true}}
+	duties := flaggy.NewSubcommand("duties")
+	duties.Description = "Show who performs the jobs that one entry VM at a time does, and what it would order now."
+	duties.String(&f.address, "", "address", "Address of an entry VM's metrics")
+	p.AttachSubcommand(duties, 1)
+	return []command{{sub: route, run: (*session).route, local: true}, {sub: duties, run: (*session).duties, local: true}}
 }
 
 // explain prints the events that the logs hold for one request.
--- a/ctl/query.go
+++ b/ctl/query.go
@@ -178,3 +178,55 @@
 		formatMS(k.HandOverMS), formatMS(k.DataCentreMS), formatMS(k.OtherMS), formatMS(c.HealthFactor), describeCache(c.CachedTokens, c.KVSource), full,
 	}
 }
+
+// duties asks an entry VM what it knows of the jobs that one VM at a time performs.
+func (s *session) duties(ctx context.Context) error {
+	var out explain.Duties
+	return s.query(ctx, http.MethodGet, explain.PathDuties, nil, &out, func() { s.printDuties(&out) })
+}
+
+func (s *session) printDuties(x *explain.Duties) {
+	l := &x.Lease
+	switch {
+	case l.Held:
+		s.printf("%s holds the lease with fencing number %d\n", x.VM, l.Fencing)
+	case l.Holder == "":
+		s.printf("%s does not hold the lease and knows of no holder\n", x.VM)
+	default:
+		s.printf("%s does not hold the lease; as far as it knows, %s does, with fencing number %d", x.VM, l.Holder, l.Fencing)
+		if l.Released {
+			s.printf(" (released)")
+		}
+		s.printf("\n")
+	}
+	for i := range x.Duties {
+		s.printDuty(&x.Duties[i])
+	}
+}
+
+func (s *session) printDuty(d *explain.Duty) {
+	s.printf("\n%s", d.Name)
+	switch {
+	case d.Earlier:
+		s.printf(" (last step %s ms ago, under an earlier lease)", formatMS(d.AgeMS))
+	case d.Stepped:
+		s.printf(" (last step %s ms ago)", formatMS(d.AgeMS))
+	}
+	s.printf("\n")
+	for _, p := range d.Plans {
+		s.printf("  plan     %s: %s; %s\n", p.Subject, p.Text, p.Reason)
+		for _, c := range p.Due {
+			s.printf("  due      %s: %s\n", c.Subject, c.Text)
+		}
+	}
+	for _, c := range d.Unanswered {
+		s.printf("  no answer %s: %s\n", c.Subject, c.Text)
+	}
+	for _, b := range d.Blocks {
+		s.printf("  blocked  %s: %s", cmp.Or(b.Subject, "all"), b.Reason)
+		if b.EndsMS > 0 {
+			s.printf(", for %s ms more", formatMS(b.EndsMS))
+		}
+		s.printf("\n")
+	}
+}
--- a/ctl/query_test.go
+++ b/ctl/query_test.go
@@ -69,3 +69,25 @@
 	is.Equal(exit, exitFailed)
 	is.True(strings.Contains(errs, "status 429: too many (code 2001"))
 }
+
+// Guards against a report of the duties that leaves out who holds the lease, what is due, what has no answer, or what prevents sending.
+func TestDutiesCommand(t *testing.T) {
+	is := is.New(t)
+	answer := explain.Duties{VM: "vm1", Lease: explain.Lease{Holder: "vm2", Fencing: 7}, Duties: []explain.Duty{{
+		Name: "capacity", Enabled: true, Stepped: true, Earlier: true,
+		Plans:      []explain.Plan{{Subject: "llm", Text: "wien/preemptible:3+0-0>5", Reason: "demand", Due: []explain.Call{{Subject: "llm wien", Text: "5 preemptible servers"}}}},
+		Unanswered: []explain.Call{{Subject: "llm graz", Text: "2 on_demand servers"}}, Blocks: []explain.Block{{Reason: "no lease"}, {Subject: "llm wien", Reason: "no servers", EndsMS: 1500}},
+	}}}
+	exit, out, errs, _, _ := ask(t, http.StatusOK, answer, "", "duties")
+	is.Equal([]any{exit, errs}, []any{exitOK, ""})
+	for _, want := range []string{
+		"vm2 does, with fencing number 7", "under an earlier lease", "plan     llm: wien/preemptible:3+0-0>5; demand", "due      llm wien: 5 preemptible servers",
+		"no answer llm graz: 2 on_demand servers", "blocked  all: no lease", "blocked  llm wien: no servers, for 1500.0 ms more",
+	} {
+		is.True(strings.Contains(out, want))
+	}
+	_, out, _, _, _ = ask(t, http.StatusOK, answer, "", "duties", "-o", "json")
+	var decoded explain.Duties
+	is.NoErr(json.Unmarshal([]byte(out), &decoded))
+	is.Equal(decoded, answer)
+}
--- a/edge/duties.go
+++ b/edge/duties.go
@@ -38,6 +38,8 @@
 	lease    *lease.Manager
 	counter  *usage.Counter // nil: usage is not reported
 	reporter *usage.Reporter
+	// inspected are the duties that operators can ask about; nil until all are built.
+	inspected []inspectedDuty
 
 	mu      sync.Mutex
 	started bool
@@ -52,9 +54,20 @@
 		Candidates: leaseCandidates, Era: e.objects.Era, Clock: store.BootClock{}, Logger: e.log,
 	})
 	e.addActor("lease", e.duties.lease.Run)
-	e.buildRoles()
+	inspected := []inspectedDuty{{"roles", e.buildRoles().Inspect}, {name: "usage"}, {name: "capacity"}}
 	e.buildReporter()
-	return e.buildScaling()
+	if e.duties.reporter != nil {
+		inspected[1].inspect = e.duties.reporter.Inspect
+	}
+	control, err := e.buildScaling()
+	if err != nil {
+		return err
+	}
+	if control != nil {
+		inspected[2].inspect = control.Inspect
+	}
+	e.duties.inspected = inspected
+	return nil
 }
 
 // handOverPause is the time from taking over the lease to the first step of a duty.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -434,6 +434,9 @@
 func (e *Edge) serveMetrics(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/metrics":
+	case explain.PathDuties:
+		e.serveQuery(w, r, http.MethodGet, e.explainDuties)
+		return
 	case explain.PathRoute:
 		e.serveQuery(w, r, http.MethodPost, e.explainRoute)
 		return
--- a/edge/explain_test.go
+++ b/edge/explain_test.go
@@ -17,9 +17,11 @@
 
 	"bergamotcroft.example/bergamot/accounts"
 	"bergamotcroft.example/bergamot/conns"
+	"bergamotcroft.example/bergamot/duty"
 	"bergamotcroft.example/bergamot/explain"
 	"bergamotcroft.example/bergamot/forward"
 	"bergamotcroft.example/bergamot/gateway"
+	"bergamotcroft.example/bergamot/lease"
 	"bergamotcroft.example/bergamot/platform"
 	"bergamotcroft.example/bergamot/routes"
 	"bergamotcroft.example/bergamot/scheduler"
@@ -263,3 +265,36 @@
 	vm.e.serveMetrics(w, httptest.NewRequest(http.MethodPost, explain.PathRoute, strings.NewReader(`{}`)))
 	is.Equal(w.Code, http.StatusTooManyRequests)
 }
+
+// Guards against an answer about the duties that hides one that is not asked for or who holds the lease, and against one of a VM that stops.
+func TestDutiesAreExplained(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	inspection := duty.Inspection{
+		Now: now, Holds: true, Token: lease.Token{Fencing: 3, Since: now},
+		Report: &duty.Report{At: now.Add(-time.Second), Plans: []duty.Plan{{Subject: "s", Text: "p", Reason: "r", Due: []duty.Call{{Subject: "s", Text: "5"}}}}},
+		Blocks: []duty.Block{{Reason: "pause", Until: now.Add(1500 * time.Millisecond)}},
+	}
+	e := &Edge{settings: &platform.Settings{VM: "vm1"}, log: zap.NewNop()}
+	e.duties.lease = lease.New(lease.Options{Name: "vm1", Groups: 1})
+	e.duties.inspected = []inspectedDuty{{"roles", func() duty.Inspection { return inspection }}, {name: "usage"}}
+	get := func() (int, explain.Duties) {
+		w := httptest.NewRecorder()
+		e.serveMetrics(w, httptest.NewRequest(http.MethodGet, explain.PathDuties, nil))
+		var out explain.Duties
+		is.NoErr(json.Unmarshal(w.Body.Bytes(), &out))
+		return w.Code, out
+	}
+	status, out := get()
+	is.Equal(status, http.StatusOK)
+	is.Equal(out, explain.Duties{VM: "vm1", Duties: []explain.Duty{
+		{
+			Name: "roles", Enabled: true, Stepped: true, Earlier: true, AgeMS: 1000, Unanswered: []explain.Call{},
+			Plans: []explain.Plan{{Subject: "s", Text: "p", Reason: "r", Due: []explain.Call{{Subject: "s", Text: "5"}}}}, Blocks: []explain.Block{{Reason: "pause", EndsMS: 1500}},
+		},
+		{Name: "usage", Plans: []explain.Plan{}, Unanswered: []explain.Call{}, Blocks: []explain.Block{{Reason: "the settings don't ask for it"}}},
+	}})
+	e.leaving.Store(true)
+	status, _ = get()
+	is.Equal(status, http.StatusServiceUnavailable)
+}
--- a/edge/roles.go
+++ b/edge/roles.go
@@ -11,13 +11,14 @@
 )
 
 // buildRoles creates the controller of the engines' roles.
-func (e *Edge) buildRoles() {
+func (e *Edge) buildRoles() *roles.Controller {
 	orders := platform.OrderClient{Pool: e.pool, OnAnswer: e.front.ApplyAvailability}
 	control := roles.New(roles.Options{
 		Lease: e.duties.lease, Group: dutyGroup, Holder: e.settings.VM, Engines: e.engines, Inspect: orders.Inspect, Send: orders.Send,
 		Clock: store.BootClock{}, Log: e.log, HandOverPause: e.handOverPause(),
 	})
 	e.addActor("roles", control.Run)
+	return control
 }
 
 // engines returns the engines with their load, or nil if the gateway has stopped.
--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -25,14 +25,14 @@
 	_ "bergamotcroft.example/bergamot/policy/scaling" // registers itself
 )
 
-// buildScaling creates the controller of the number of servers, if the settings ask for it.
-func (e *Edge) buildScaling() error {
+// buildScaling creates the controller of the number of servers, nil if the settings don't ask for it.
+func (e *Edge) buildScaling() (*scaling.Controller, error) {
 	if !e.settings.Duties.Scale || e.settings.Duties.Address == "" {
-		return nil
+		return nil, nil
 	}
 	const scaler = "scaling.demand"
 	if _, err := kernel.Load[policy.Scaler](scaler, nil); err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	client := platform.DutyClient{Pool: e.pool, Address: e.settings.Duties.Address, Holder: e.settings.VM}
 	control := scaling.New(scaling.Options{
@@ -50,7 +50,7 @@
 		Clock: store.BootClock{}, Log: e.log,
 	})
 	e.addActor("capacity orders", control.Run)
-	return nil
+	return control, nil
 }
 
 func orderError(err error) error {
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -65,13 +66,15 @@
 // Manager takes, renews and releases the leases of one entry VM. Only one goroutine may call Step, Run and Release; the methods
 // of Authority are safe for concurrent use.
 type Manager struct {
-	opt          Options
-	rng          *rand.Rand
-	rankedNames  []string // live members from which ranks were computed
-	ranks        []rank
-	failures     int
-	nextCall     time.Time // no store call before this time
-	nextHandBack time.Time // no group is handed back before this time
+	opt         Options
+	rng         *rand.Rand
+	rankedNames []string // live members from which ranks were computed
+	ranks       []rank
+	failures    int
+	// storeFailures is failures for other goroutines.
+	storeFailures atomic.Int64
+	nextCall      time.Time // no store call before this time
+	nextHandBack  time.Time // no group is handed back before this time
 
 	mu     sync.Mutex
 	groups []groupState
@@ -248,6 +251,7 @@
 		return false
 	}
 	m.failures = 0
+	m.storeFailures.Store(0)
 	return true
 }
 
@@ -255,6 +259,7 @@
 // hold. After the outage, the former holders can therefore renew before another VM may take over.
 func (m *Manager) backOff() {
 	m.failures++
+	m.storeFailures.Store(int64(m.failures))
 	m.nextCall = m.opt.Clock.Now().Add(store.BackoffFrom(m.rng, m.failures))
 	for g := range m.groups {
 		if s := &m.groups[g]; !s.mine {
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -117,6 +117,9 @@
 	opts          Options
 	pendingOrders duty.Pending[string, topo.Role] // by engine name
 	sets          map[string]*setState
+	unanswered    map[string]bool // names of the engines whose last order has no answer
+	board         duty.Board
+	report        *duty.Report // of the step in hand
 }
 
 // setState is the state of a set that is kept between steps.
@@ -139,7 +142,7 @@
 	if o.PromptShare <= 0 {
 		o.PromptShare = DefaultPromptShare
 	}
-	return &Controller{opts: o, pendingOrders: duty.Pending[string, topo.Role]{}, sets: map[string]*setState{}}
+	return &Controller{opts: o, pendingOrders: duty.Pending[string, topo.Role]{}, sets: map[string]*setState{}, unanswered: map[string]bool{}}
 }
 
 // Run checks the sets periodically until ctx ends.
@@ -156,6 +159,8 @@
 // Step sends the orders that are due. It must only be called while the lease is held.
 func (c *Controller) Step(ctx context.Context) {
 	now := c.opts.Clock.Now()
+	c.report = &duty.Report{At: now}
+	defer c.publish()
 	bySet := map[string][]Engine{}
 	for _, e := range c.opts.Engines() {
 		if e.Role != "" && e.Role != topo.RoleBoth && !e.Leaving {
@@ -185,14 +190,15 @@
 	if members != s.members {
 		s.members, s.stableSince = members, now
 	}
+	defer func() { c.reportSet(c.opts.Clock.Now(), name, s, list, load) }()
 	if load > 0 && !c.splitNew(ctx, now, s, list) {
 		return
 	}
 	if now.Sub(s.stableSince) < settleTime || load > 0 && now.Sub(s.lastOrder) < busyChangeInterval {
 		return
 	}
-	list = c.withPendingRoles(now, list)
-	for _, e := range Plan(list, c.promptShare(list), load > 0) {
+	withPending := c.withPendingRoles(now, list)
+	for _, e := range Plan(withPending, c.promptShare(list), load > 0) {
 		if !c.sendOrder(ctx, e) {
 			return
 		}
@@ -342,6 +348,7 @@
 	defer cancel()
 	answer, err := c.opts.Send(sending, e, o)
 	now := c.opts.Clock.Now()
+	c.unanswered[e.Name] = err != nil
 	switch {
 	case err != nil: // the order may still be carried out
 		ordersUnanswered.Inc()
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -127,6 +127,7 @@
 	resumeAt  time.Time
 	loadAt    time.Time // next attempt to load or write the record
 	totals    map[string]int
+	board     duty.Board
 }
 
 // subject is what one unanswered order holds back.
@@ -179,6 +180,8 @@
 		c.reset(t.Fencing, now)
 	}
 	list := c.opts.Observe()
+	var due []Order
+	defer func() { c.publish(now, list, due) }()
 	if len(list) == 0 || !c.takenOver && !c.load(ctx, now) {
 		return
 	}
@@ -188,7 +191,6 @@
 	if now.Sub(c.since) < settleTime {
 		return
 	}
-	var due []Order
 	for i := range list {
 		due = append(due, c.plan(now, &list[i])...)
 	}
--- a/usage/counter.go
+++ b/usage/counter.go
@@ -196,6 +196,13 @@
 	return c.holder, sources
 }
 
+// Holder returns the name of the last holder that has collected here, or "".
+func (c *Counter) Holder() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder
+}
+
 // TakeOver keeps the counts of VMs that stop.
 func (c *Counter) TakeOver(sources map[Source]WindowCounts) {
 	c.mu.Lock()
--- a/usage/reporter.go
+++ b/usage/reporter.go
@@ -105,6 +105,7 @@
 	failures  int               // consecutive, of calls to the store
 	cutOff    time.Time         // when most VMs last failed to answer in time; all of them are asked again after that
 	collector collector
+	board     duty.Board
 }
 
 // report is a report that has been written to the store.
@@ -142,6 +143,7 @@
 
 // Step collects, records and sends what is due.
 func (r *Reporter) Step(ctx context.Context, t lease.Token) {
+	defer r.publish()
 	if !r.o.Active() {
 		return
 	}
