scheduler: list the upstreams of the request's own model first among those left out

An answer names 64 of them, and other models of a large service could take all of the room. What a query compares is kept by upstream index instead of in maps.

--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -66,7 +66,7 @@
 // changes except what follows from the time alone, as at the next tick: quiet periods and permits that are over end, and the order of
 // the queue is brought up to date. related selects the upstreams that are listed in LeftOut though they don't serve r.
 func (s *Scheduler) Explain(now time.Duration, r policy.Request, related func(*topo.Upstream) bool) (*Explanation, error) {
-	seen := &comparison{}
+	seen := newComparison(len(s.fleet.Upstreams))
 	router, ok := s.opts.Router.(policy.RoutePreviewer)
 	if !ok {
 		return nil, trace.NotImplemented("the router can't be asked without a change to its state")
@@ -146,11 +146,12 @@
 
 // list sets the candidates and the upstreams left out.
 func (x *Explanation) list(now time.Duration, seen *comparison, r *policy.Request, f *policy.Fleet, related func(*topo.Upstream) bool) {
-	compared := make(map[*policy.Upstream]bool, 2*len(seen.costs))
+	compared := make([]bool, len(f.Upstreams))
+	x.Candidates = make([]Candidate, 0, len(seen.costs))
 	for i := range seen.costs {
 		c := &seen.costs[i]
 		// A decoder is no candidate of its own, but it has not been left out.
-		compared[c.Prefill], compared[c.Decode] = true, true
+		compared[c.Prefill.Index], compared[c.Decode.Index] = true, true
 		k := Candidate{
 			Prefill: c.Prefill.Spec.Name, Decode: c.Decode.Spec.Name, DataCentre: c.Prefill.Spec.DataCentre,
 			HealthFactor: f.Health.Factor(c.Prefill.Index), Cost: *c,
@@ -161,16 +162,23 @@
 		k.Cost.Prefill, k.Cost.Decode, k.Cost.Source = nil, nil, nil
 		x.Candidates = append(x.Candidates, k)
 	}
-	serves := make(map[int]bool, len(f.Candidates(r)))
+	serves := make([]bool, len(f.Upstreams))
 	for _, i := range f.Candidates(r) {
 		serves[i] = true
 	}
+	var others []LeftOut
 	for i, u := range f.Upstreams {
-		if u.Spec.State == topo.UpstreamWithdrawn || compared[u] || !serves[i] && !related(&u.Spec) {
+		if u.Spec.State == topo.UpstreamWithdrawn || compared[i] || !serves[i] && !related(&u.Spec) {
 			continue
 		}
-		x.LeftOut = append(x.LeftOut, LeftOut{u.Spec.Name, u.Spec.DataCentre, leftOutReason(now, seen, r, f, u, serves[i])})
+		o := LeftOut{u.Spec.Name, u.Spec.DataCentre, leftOutReason(now, seen, r, f, u, serves[i])}
+		if serves[i] {
+			x.LeftOut = append(x.LeftOut, o)
+		} else {
+			others = append(others, o)
+		}
 	}
+	x.LeftOut = append(x.LeftOut, others...) // last, as an answer may have no room for all
 }
 
 // leftOutReason returns why u is not among the candidates.
@@ -196,7 +204,7 @@
 			reason = h.Reason(now, u.Index)
 		}
 		return "excluded: " + reason
-	case seen.full[u]:
+	case seen.full[u.Index]:
 		return "full"
 	case u.Role == topo.RolePrefill:
 		return "role: no engine can generate for it"
@@ -207,29 +215,28 @@
 // comparison collects what a router compares. It keeps the last estimate for each prefill engine.
 type comparison struct {
 	costs []policy.Cost
-	at    map[*policy.Upstream]int // index in costs
-	full  map[*policy.Upstream]bool
+	at    []int // by upstream index: 1 + the index in costs, or 0
+	full  []bool
+}
+
+func newComparison(upstreams int) *comparison {
+	return &comparison{costs: make([]policy.Cost, 0, upstreams), at: make([]int, upstreams), full: make([]bool, upstreams)}
 }
 
 // Compared implements policy.Inspector.
 func (k *comparison) Compared(c policy.Cost) {
-	if i, ok := k.at[c.Prefill]; ok {
-		k.costs[i] = c
+	at := &k.at[c.Prefill.Index]
+	if *at > 0 {
+		k.costs[*at-1] = c
 		return
 	}
-	if k.at == nil {
-		k.at = map[*policy.Upstream]int{}
-	}
-	k.at[c.Prefill] = len(k.costs)
 	k.costs = append(k.costs, c)
+	*at = len(k.costs)
 }
 
 // SkippedFull implements policy.Inspector.
 func (k *comparison) SkippedFull(u *policy.Upstream) {
-	if k.full == nil {
-		k.full = map[*policy.Upstream]bool{}
-	}
-	k.full[u] = true
+	k.full[u.Index] = true
 }
 
 // admitterPreview is an admitter that changes only the request.
