policy/health: test that a preview of an exclusion does not end it

The random loads of package scheduler are too short for the minute after which an exclusion ends. The test fails when WouldExclude calls Excluded.

--- a/policy/health/reachable_test.go
+++ b/policy/health/reachable_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -53,3 +54,28 @@
 	is.Equal(out, 3)
 	is.True(!h.Excluded(time.Second, 0))
 }
+
+// Guards against a query that ends an exclusion: WouldExclude returns what Excluded does and leaves the state as it is, also when the
+// time without a probe is over.
+func TestWouldExcludeChangesNothing(t *testing.T) {
+	is := is.New(t)
+	h := newReachable(4)
+	for range h.Failures {
+		h.Observe(0, policy.Observation{Upstream: 1, Failed: true})
+	}
+	h.Observe(0, policy.Observation{Upstream: 2, Failed: true, Unreachable: true})
+	h.Silent(0, 3)
+	trial := time.Duration(h.TrialMS) * time.Millisecond
+	for _, now := range []time.Duration{0, time.Second, trial, trial + 1} {
+		before := slices.Clone(h.upstreams)
+		var would []bool
+		for i := range 5 {
+			would = append(would, h.WouldExclude(now, i))
+		}
+		is.Equal(h.upstreams, before)
+		for i, w := range would {
+			is.Equal(w, h.Excluded(now, i))
+		}
+		is.Equal(would[1], now <= trial)
+	}
+}
