--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -133,6 +133,7 @@
 	// gatheredFrom is the time since which reductions wait to be sent; zero: there are none.
 	gatheredFrom time.Time
 	totals       map[string]int
+	board        duty.Board
 }
 
 // subject is what one unanswered order holds back.
@@ -223,6 +224,8 @@
 		c.reset(t.Fencing, now)
 	}
 	list := c.opts.Observe()
+	var planned []Order
+	defer func() { c.publish(now, list, planned) }()
 	if len(list) == 0 || !c.takenOver && !c.load(ctx, now) {
 		return
 	}
@@ -237,6 +240,7 @@
 		a, r := c.plan(now, &list[i])
 		add, remove = append(add, a...), append(remove, r...)
 	}
+	planned = slices.Concat(add, remove)
 	c.send(ctx, now, list, c.due(now, add, remove))
 	c.updateMetrics(list)
 }
