--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -22,7 +22,7 @@
 		err error
 	}
 	done := make(chan answer, 1) // the scheduler's goroutine does not wait for a caller that has left
-	ask := event{kind: evCall, do: func(now time.Duration, s *scheduler.Scheduler) {
+	ask := event{kind: evAsk, do: func(now time.Duration, s *scheduler.Scheduler) {
 		x, err := s.Explain(now, r, related)
 		done <- answer{x, err}
 	}}
--- a/gateway/loop.go
+++ b/gateway/loop.go
@@ -27,12 +27,13 @@
 	evDo
 	evCall  // as evDo, without a tick
 	evPlace // as evDo; chooses upstreams for a request
+	evAsk   // as evCall; asks what would be chosen
 )
 
 // mayDecide reports whether the scheduler may place a request on an event of the kind.
 func (k eventKind) mayDecide() bool {
 	switch k {
-	case evOffer, evFinished, evAbandoned, evTick, evPlace:
+	case evOffer, evFinished, evAbandoned, evTick, evPlace, evAsk:
 		return true
 	}
 	return false
@@ -54,7 +55,7 @@
 	attempt int
 	n       int // tokens of evProgress; 1 or 0 as a flag of evHedgeSettled and evHedgeFailed
 	outcome policy.Outcome
-	do      func(now time.Duration, s *scheduler.Scheduler) // of evDo, evCall and evPlace
+	do      func(now time.Duration, s *scheduler.Scheduler) // of evDo, evCall, evPlace and evAsk
 }
 
 // action is an action of the scheduler with a copy of the data that the request's goroutine needs to carry it out.
@@ -194,7 +195,7 @@
 	case evDo, evPlace:
 		e.do(now, l.sched)
 		l.deliverAll(l.sched.Tick(now))
-	case evCall:
+	case evCall, evAsk:
 		e.do(now, l.sched)
 	}
 	l.dropUnstarted()
--- a/gateway/loop_test.go
+++ b/gateway/loop_test.go
@@ -49,4 +49,6 @@
 	l.handle(event{kind: evTick})
 	l.handle(event{kind: evPlace, do: func(time.Duration, *scheduler.Scheduler) {}})
 	is.Equal([]int{refreshed, changed}, []int{4, 3})
+	l.handle(event{kind: evAsk, do: func(time.Duration, *scheduler.Scheduler) {}})
+	is.Equal([]int{refreshed, changed}, []int{5, 3})
 }
