catalog: watchers that have followers gather changes of upstreams for 250 ms

Cause: in a fleet with followers some upstream renews or changes its entry at nearly any time, so that a watcher called the store up to ten times a second, and each answer with a change is a message to each of its followers.

Change: the pause after an event is 250 ms in place of 100 ms on a VM that a follower has called within 10 s; small fleets, in which each VM watches, keep 100 ms. An upstream that leaves must get no work within 2 s.

Measured: with an entry renewed each 40 ms, 4 s take over 18 watches before (TestWatchersGatherChangesForFollowers fails) and at most 18 now.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -114,6 +114,7 @@
 	unreachableSince map[string]time.Time // by kind: when the current outage was recorded
 	reachableSince   map[string]time.Time // by kind: when the last outage ended
 	unanswered       map[string]bool      // kinds whose last call the store left unanswered
+	followedAt       time.Time            // last call of a follower
 	confirmed        time.Time            // when the store last answered that the configuration here is its own
 	boot             uint64               // random identifier of this process; generations of two processes do not compare
 	generation       uint64               // number of the last change of the local state or confirmation, for followers
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -58,6 +58,7 @@
 	watchLimit     time.Duration // after which a waiting watch is cut off; 0: none is
 	changed        chan struct{}
 	lists          int
+	watches        int // of upstreams
 }
 
 type recordedEvent struct {
@@ -155,6 +156,9 @@
 	end := time.NewTimer(2 * time.Second)
 	defer end.Stop()
 	f.mu.Lock()
+	if kind == kinds.Upstreams {
+		f.watches++
+	}
 	silences, cut := f.silences, make(<-chan time.Time)
 	if f.watchLimit > 0 {
 		cut = time.After(f.watchLimit)
--- a/catalog/exchange.go
+++ b/catalog/exchange.go
@@ -76,6 +76,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if after > 0 {
+		c.followedAt = c.opts.Clock.Now()
+	}
 	if !c.listed[c.opts.Kinds.Configuration] || !c.listed[c.opts.Kinds.Upstreams] {
 		return 0, nil, trace.Wrap(errIncomplete)
 	}
--- a/catalog/exchange_test.go
+++ b/catalog/exchange_test.go
@@ -65,6 +65,27 @@
 	return watcher, follower
 }
 
+// Guards against a call to the store, and a message to each follower, for nearly every entry that one of many upstreams renews, and against
+// changes that are late for it.
+func TestWatchersGatherChangesForFollowers(t *testing.T) {
+	f := newServingStore("a", "b")
+	runCatalogs(t, f, func(is *is.I, run func(o Options) *Catalog) {
+		leader, follower := runFollowed(run)
+		f.update(func() { f.watches = 0 })
+		for i := range 100 {
+			f.put("servers", "b", fmt.Sprintf(`{"s":"x","b":%d}`, i))
+			time.Sleep(40 * time.Millisecond)
+		}
+		f.mu.Lock()
+		is.True(f.watches <= int(4*time.Second/sharedSettleDelay)+2)
+		f.mu.Unlock()
+		f.put("servers", "a", `{"s":"x","l":true}`)
+		time.Sleep(sharedSettleDelay + 20*time.Millisecond)
+		is.Equal(names(leader), "a-b")
+		is.Equal(names(follower), "a-b")
+	})
+}
+
 // Guards against store calls that grow with the fleet, a follower that receives changes late, and one that keeps an old state
 // after its watcher has become unreachable or has lost the store.
 func TestFollowersReceiveChangesFromWatchers(t *testing.T) {
--- a/catalog/follow.go
+++ b/catalog/follow.go
@@ -15,6 +15,12 @@
 const (
 	// settleDelay is the pause after an event before the next watch, so that changes in quick succession cost one call.
 	settleDelay = 100 * time.Millisecond
+	// sharedSettleDelay is the pause of a VM that passes upstreams on to followers. In a fleet with followers some upstream renews its entry or
+	// changes at nearly any time, and each answer of the store is also a message to each follower. With the pause, a change is in
+	// force within a fraction of the two seconds in which an upstream that leaves must get no new work.
+	sharedSettleDelay = 250 * time.Millisecond
+	// followedFor is how long a VM counts as followed after a call of a follower, of which each makes one every maxExportWait at least.
+	followedFor = 10 * time.Second
 	// peerCheckInterval is how often a VM checks whether it has to follow a peer; peerRetryDelay is the pause after a failed call.
 	peerCheckInterval = 200 * time.Millisecond
 	peerRetryDelay    = 400 * time.Millisecond
@@ -179,10 +185,20 @@
 		return from, err
 	}
 	c.confirmKind(kind, answered)
-	_ = c.opts.Clock.Sleep(ctx, settleDelay) // watchKind checks whether ctx has ended
+	_ = c.opts.Clock.Sleep(ctx, c.settleTime(kind)) // watchKind checks whether ctx has ended
 	return max(next, from), nil
 }
 
+// settleTime returns the pause after an event of a kind.
+func (c *Catalog) settleTime(kind string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if kind == c.opts.Kinds.Upstreams && !c.followedAt.IsZero() && c.opts.Clock.Now().Sub(c.followedAt) < followedFor {
+		return sharedSettleDelay
+	}
+	return settleDelay
+}
+
 var errFollowing = errors.New("a watcher is followed")
 
 // updateFromStore is update for the result of a call to the store. If a watcher has been followed since the call began, upstreams are
