ingress, peer: what a client holds at the peers' listener counts until a call of it is verified

Cause: net/http lets a connection of HTTP/2 open 250 streams, and whoever reaches the peers' listener may open one; the message of each, up to 4 MB, was read before its authentication code was checked, and was counted nowhere, over HTTP/1 either. Connections of HTTP/2 were never closed for others, so that 24 of them kept peers out. The preface was recognised in the first read alone; in two parts, the frames counted as heads. Change: frames are counted at the connection until a call on it is verified: streams, data and control frames share the budget, 200 streams, frames above 16 KB and 1,000 control frames close the connection, and an unverified connection makes room. Messages over HTTP/1 count in the same way. Verified connections are not counted. Crowd cases at the peers' (9002) and the metrics (9004) listeners, with the same crowd and bounds. TestFramesOfHTTP2AreNoHead: its calls are verified now, as package peer does for a peer's; before, no connection of HTTP/2 was counted.

--- a/cmd/bergamotd/crowd_test.go
+++ b/cmd/bergamotd/crowd_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,25 +57,27 @@
 	}
 }
 
-// crowdWays are what each client of a crowd does on its connection. Afterwards it reads until the VM closes the connection, unless it
-// is one that reads nothing.
-var crowdWays = []struct {
+// crowdWay is what each client of a crowd does on its connection. Afterwards it reads until the VM closes the connection, unless it is
+// one that reads nothing.
+type crowdWay struct {
 	name      string
-	listeners []int // ports
+	listeners []int // ports: callers 9000, readiness 9001, peers 9002, directory 9003, metrics 9004
 	conns     int
 	send      func(c net.Conn)
 	unread    bool
-}{
-	{"short lines of one name", []int{9000, 9001, 9003}, crowdClients, func(c net.Conn) {
+}
+
+var crowdWays = []crowdWay{
+	{"short lines of one name", []int{9000, 9001, 9002, 9003, 9004}, crowdClients, func(c net.Conn) {
 		sendAll(c, crowdPost+"Content-Length: 9\r\n"+strings.Repeat("a:\r\n", 4050)+"\r\n", 1)
 	}, false},
-	{"short lines of distinct names", []int{9000, 9001, 9003}, crowdClients, func(c net.Conn) {
+	{"short lines of distinct names", []int{9000, 9001, 9002, 9003, 9004}, crowdClients, func(c net.Conn) {
 		sendAll(c, crowdPost+"Content-Length: 9\r\n"+distinctLines(16000)+"\r\n", 1)
 	}, false},
-	{"odd lines", []int{9000}, crowdClients, func(c net.Conn) {
+	{"odd lines", []int{9000, 9002, 9004}, crowdClients, func(c net.Conn) {
 		sendAll(c, crowdPost+"Content-Length: 9\r\n"+strings.Repeat("a:\n b\n", 2600)+"\r\n", 1)
 	}, false},
-	{"large heads on kept-alive connections", []int{9000, 9003}, crowdClients, func(c net.Conn) {
+	{"large heads on kept-alive connections", []int{9000, 9002, 9003, 9004}, crowdClients, func(c net.Conn) {
 		r := bufio.NewReader(c)
 		for range 20 {
 			sendAll(c, crowdGet+distinctLines(15000)+"\r\n", 1)
@@ -85,33 +88,37 @@
 			_, _ = io.Copy(io.Discard, resp.Body) // the connection may be closed
 		}
 	}, false},
-	{"pipelined requests", []int{9000}, crowdClients, func(c net.Conn) { sendAll(c, crowdGet+distinctLines(4000)+"\r\n", 200) }, true},
-	{"a head without end", []int{9000, 9001, 9003}, crowdClients, func(c net.Conn) {
+	{"pipelined requests", []int{9000, 9002, 9004}, crowdClients, func(c net.Conn) { sendAll(c, crowdGet+distinctLines(4000)+"\r\n", 200) }, true},
+	{"a head without end", []int{9000, 9001, 9002, 9003, 9004}, crowdClients, func(c net.Conn) {
 		sendAll(c, crowdGet, 1)
 		sendAll(c, distinctLines(16000), 60)
 	}, false},
-	{"a line without end", []int{9000}, crowdClients, func(c net.Conn) { sendAll(c, crowdGet+"a: "+strings.Repeat("x", 1<<20), 1) }, false},
-	{"empty lines without end", []int{9000, 9003}, crowdClients, func(c net.Conn) { sendAll(c, strings.Repeat("\r\n", 4096), 60) }, false},
-	{"chunks of one byte", []int{9000}, crowdClients, func(c net.Conn) {
+	{"a line without end", []int{9000, 9002, 9004}, crowdClients, func(c net.Conn) { sendAll(c, crowdGet+"a: "+strings.Repeat("x", 1<<20), 1) }, false},
+	{"empty lines without end", []int{9000, 9002, 9003, 9004}, crowdClients, func(c net.Conn) { sendAll(c, strings.Repeat("\r\n", 4096), 60) }, false},
+	{"chunks of one byte", []int{9000, 9002, 9004}, crowdClients, func(c net.Conn) {
 		sendAll(c, crowdPost+"Transfer-Encoding: chunked\r\n\r\n", 1)
 		sendAll(c, strings.Repeat("1\r\nx\r\n", 1000), 50)
 	}, false},
-	{"trailers without end", []int{9000}, crowdClients, func(c net.Conn) {
+	{"trailers without end", []int{9000, 9002, 9004}, crowdClients, func(c net.Conn) {
 		sendAll(c, crowdPost+"Transfer-Encoding: chunked\r\n\r\n0\r\n", 1)
 		sendAll(c, distinctLines(16000), 60)
 	}, false},
-	{"connections that stay open", []int{9000, 9001, 9003}, crowdOpenConns, func(net.Conn) {}, false},
-	{"bytes one at a time", []int{9000}, crowdClients, func(c net.Conn) {
+	{"connections that stay open", []int{9000, 9001, 9002, 9003, 9004}, crowdOpenConns, func(net.Conn) {}, false},
+	{"bytes one at a time", []int{9000, 9002, 9004}, crowdClients, func(c net.Conn) {
 		for _, b := range []byte(crowdGet + distinctLines(2000)) {
 			if _, err := c.Write([]byte{b}); err != nil {
 				return
 			}
 		}
 	}, false},
-	{"answers that are not read", []int{9000, 9003}, crowdClients, func(c net.Conn) {
+	{"answers that are not read", []int{9000, 9002, 9003, 9004}, crowdClients, func(c net.Conn) {
 		_ = c.(*net.TCPConn).SetReadBuffer(1 << 10) // a larger one only holds less in the VM
 		sendAll(c, crowdGet+"\r\n", 20000)
 	}, true},
+	{"metrics that are not read", []int{9004}, crowdClients, func(c net.Conn) {
+		_ = c.(*net.TCPConn).SetReadBuffer(1 << 10)
+		sendAll(c, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", 20000)
+	}, true},
 }
 
 // Guards against clients that, each with requests of legal size or with bytes without end, make the process use more memory or
@@ -125,12 +132,12 @@
 	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for _, way := range crowdWays {
+	for _, way := range slices.Concat(crowdWays, peerWays) {
 		for _, port := range way.listeners {
 			t.Run(fmt.Sprint(strings.ReplaceAll(way.name, " ", "_"), "_at_", port), func(t *testing.T) {
 				knownred.Skip(t)
 				is := is.New(t)
-				cmd, ip := startEdgeWithin(t, exec.Command(program, "edge"), crowdMemoryMB, crowdFDs, func(standin.Run) {})
+				cmd, ip := startEdgeWithin(t, exec.Command(program, "edge", "--metrics", "9004"), crowdMemoryMB, crowdFDs, func(standin.Run) {})
 				pid := cmd.Process.Pid
 				calm := openDescriptors(t, pid)
 				address := net.JoinHostPort(ip, strconv.Itoa(port))
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -15,15 +14,21 @@
 type conn struct {
 	*net.TCPConn
 	listener    *listener
-	multiplexed bool // HTTP/2, whose frames are not counted
+	multiplexed bool // HTTP/2
+	// verified is set once a request on the connection has proved to be a peer's.
+	verified atomic.Bool
 	// headEnded is set between the end of a head and awaitHead. net/http reads in another goroutine while a handler runs.
 	headEnded atomic.Bool
-	head      bounded.HeadCounter // used by the reading goroutine only
+	// The fields below are used by the reading goroutine only.
+	head   bounded.HeadCounter
+	start  []byte // the first bytes, which tell HTTP/2 from HTTP/1
+	frames frameCounter
 
 	// The fields below are guarded by the Guard's mutex.
 	held    int64
 	since   time.Time // of the present state
 	writing time.Time // start of a large write; zero: none
+	unsent  int64     // size of that write, part of held
 	whole   bool      // the request has been read completely
 	served  bool      // a request was read completely before
 	gone    bool      // no longer counted; the connection is closed
@@ -37,10 +42,11 @@
 	if c.whole {
 		return !c.writing.IsZero() && now.Sub(c.writing) >= slowWrite
 	}
-	return !c.multiplexed
+	return !c.multiplexed || !c.verified.Load()
 }
 
-// yieldsMemory reports whether closing the connection helps other clients. Those of other entry VMs are kept, unless they send large heads.
+// yieldsMemory reports whether closing the connection helps other clients. Those of other entry VMs are kept, unless they send large heads,
+// or many streams or long messages before they are verified.
 func (c *conn) yieldsMemory() bool { return !c.listener.peers || c.held > connBytes }
 
 // before reports whether c is closed before d.
@@ -57,8 +63,8 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.headEnded.Load() {
-		if refusal := c.countHead(p[:n]); refusal != "" {
+	if n > 0 {
+		if refusal := c.count(p[:n]); refusal != "" {
 			c.refuse(refusal)
 			return 0, errRefused
 		}
@@ -66,15 +72,38 @@
 	return n, err
 }
 
+// count counts bytes that have been read. It returns the reason for which the connection must be closed, if there is one.
+func (c *conn) count(b []byte) string {
+	switch {
+	case c.multiplexed && c.verified.Load():
+		return ""
+	case c.multiplexed:
+		return c.countFrames(b)
+	case c.headEnded.Load():
+		return ""
+	}
+	return c.countHead(b)
+}
+
+// beginsHTTP2 reports whether the bytes that have been read and b, the next ones, begin a connection of HTTP/2.
+func (c *conn) beginsHTTP2(b []byte) bool {
+	if !c.listener.peers || len(c.start) == len(prefaceStart) {
+		return false
+	}
+	c.start = append(c.start, b[:min(len(b), len(prefaceStart)-len(c.start))]...)
+	return string(c.start) == prefaceStart
+}
+
 // countHead counts bytes of a head. It returns the reason for which the connection must be closed, if there is one.
 func (c *conn) countHead(b []byte) string {
-	if c.listener.peers && c.head.Size == 0 && bytes.HasPrefix(b, []byte("PRI")) {
+	if c.beginsHTTP2(b) {
 		g := c.listener.guard
 		g.mu.Lock()
 		c.multiplexed = true
 		g.mu.Unlock()
 		c.headEnded.Store(true)
-		return ""
+		c.frames.skip = prefaceBytes - c.head.Size
+		return c.countFrames(b)
 	}
 	if c.head.Count(b) {
 		c.headEnded.Store(true)
@@ -117,9 +146,9 @@
 	g := c.listener.guard
 	g.mu.Lock()
 	if !c.gone {
-		c.writing = time.Now()
-		g.held += int64(len(p))
-		c.held += int64(len(p))
+		c.writing, c.unsent = time.Now(), int64(len(p))
+		g.held += c.unsent
+		c.held += c.unsent
 		for g.short() && g.evict("memory", func(o *conn) bool { return o != c && o.yieldsMemory() }) {
 		}
 	}
@@ -128,9 +157,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !c.gone {
-		c.writing = time.Time{}
-		g.held -= int64(len(p))
-		c.held -= int64(len(p))
+		g.held -= c.unsent
+		c.held -= c.unsent
+		c.writing, c.unsent = time.Time{}, 0
 	}
 	return n, err
 }
@@ -186,15 +215,24 @@
 	g.charge(c, connBytes)
 }
 
-// body is a request's body. Its end admits the request.
+// body is a request's body. Its end admits the request. What a client that is not verified sends to the peers' listener is held until the
+// whole body has been read.
 type body struct {
 	io.ReadCloser
-	conn *conn
+	conn       *conn
+	head, read int64
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.read += int64(n)
+	if c := b.conn; c.listener.peers && n > 0 && b.read > ordinaryData {
+		if refusal := c.hold(connBytes + b.head + dataCost(b.read)); refusal != "" {
+			c.refuse(refusal)
+			return 0, errRefused
+		}
+	}
 	if errors.Is(err, io.EOF) && !b.conn.admit() {
 		err = errRefused
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -82,6 +82,7 @@
 	limit := g.opts.Descriptors / descriptorDivisor
 	if peers {
 		limit = g.opts.Descriptors / peerDivisor
+		s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: concurrentStreams, MaxReadFrameSize: maxFrameBytes}
 	}
 	p := &listener{Listener: l, guard: g, name: name, peers: peers, maxConns: limit}
 	s.Handler = p.handler(s.Handler)
@@ -136,7 +137,8 @@
 			h.ServeHTTP(w, r)
 			return
 		}
-		if !c.beginRequest(headCost(r)) {
+		head := headCost(r)
+		if !c.beginRequest(head) {
 			w.Header().Set("Connection", "close")
 			http.Error(w, http.StatusText(http.StatusRequestHeaderFieldsTooLarge), http.StatusRequestHeaderFieldsTooLarge)
 			return
@@ -146,7 +148,7 @@
 				return
 			}
 		} else {
-			r.Body = &body{ReadCloser: r.Body, conn: c}
+			r.Body = &body{ReadCloser: r.Body, conn: c, head: head}
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -193,9 +195,10 @@
 	return g.clients
 }
 
-// charge sets what a connection holds to n. If that is more than there is, others are closed, or c itself if it holds the most; then charge
+// charge sets what a connection holds to n and what is being written to it. If that is more than there is, others are closed, or c itself if it holds the most; then charge
 // reports false and c is no longer counted. Callers hold g.mu.
 func (g *Guard) charge(c *conn, n int64) bool {
+	n += c.unsent
 	grows := n > c.held
 	g.held += n - c.held
 	c.held = n
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -208,6 +208,7 @@
 	is := is.New(t)
 	began, release := make(chan struct{}), make(chan struct{})
 	hold := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Verified(r.Context()) // as package peer does for a peer's call
 		if r.URL.Path == "/hold" {
 			close(began)
 			<-release
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 
+	"bergamotcroft.example/bergamot/ingress"
 	"bergamotcroft.example/bergamot/internal/bounded"
 	"bergamotcroft.example/bergamot/peer/peerv1/peerv1connect"
 )
@@ -71,6 +72,7 @@
 			http.Error(w, "wrong message authentication code", http.StatusUnauthorized)
 			return
 		}
+		ingress.Verified(r.Context())
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		next.ServeHTTP(w, r)
 	})
