conns: test that trailers of upstreams are bounded by lines

No fault: net/http takes only trailers that fit into the read buffer, which conns sets to 4 KB, so at most 1,364 lines of 3 bytes. The test holds the number of lines and the allocated bytes (209 KB at most), and that one line more ends the exchange as Answered and closes the connection.

--- a/conns/endless_test.go
+++ b/conns/endless_test.go
@@ -106,6 +106,35 @@
 	}
 }
 
+// Guards against trailers of few bytes but many lines, each of which takes over 100 bytes. net/http takes only trailers that fit into the read
+// buffer, so that a larger buffer would admit more lines.
+func TestTrailersAreBoundedByLines(t *testing.T) {
+	const mostLines = readBufferBytes/len("a:\n") - 1 // the last two lines end with CRLF
+	for _, c := range []struct {
+		lines int
+		over  bool
+	}{{mostLines, false}, {mostLines + 1, true}, {100 * mostLines, true}} {
+		is := is.New(t)
+		trailers := strings.Repeat("a:\n", c.lines-1) + "a:\r\n\r\n"
+		s := startScripted(t, answerHead+"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"+trailers)
+		p := New(Options{})
+		defer p.Close()
+		var got string
+		var err error
+		bytes := endless.Allocated(func() { got, err = exchange(t, p, s.Addr().String()) })
+		t.Logf("%d lines: %d bytes allocated; %v", c.lines, bytes, err)
+		is.True(bytes < endless.MemoryBound)
+		if c.over {
+			is.Equal(stageOf(err), Answered)
+			is.Equal(p.Open(s.Addr().String()), 0) // the connection is closed
+			continue
+		}
+		is.NoErr(err)
+		is.Equal(got, "hi")
+	}
+	is.New(t).True(mostLines <= bounded.MaxHeadLines*3/2) // no more memory than half again that of a head
+}
+
 // Guards against an answer to another request that trickles and so keeps a request waiting until its deadline.
 func TestATricklingForeignAnswerEndsSoon(t *testing.T) {
 	is := is.New(t)
