server: the Guard of package ingress bounds what clients of the product's own server hold

Cause: package server had callers.max_connections and no budget: heads that clients don't end took any memory, and connections that stay open kept all others waiting. Change: with the new setting memory_bytes (0 by default: served as before) a Guard covers the listeners for callers, metrics, operators and peers, with its metrics. callers.max_connections is then the limit of all but peers, who have a quarter, at least 64. Listeners with TLS carry it out below the counting connection, and serve HTTP/1 alone, since frames in TLS are not counted there. ReadFrom of a counted connection passes through Write; that of net.TCPConn would have passed by the count and by TLS. Peers with TLS and a Guard are refused; nothing uses them.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 // conn is a connection of a client.
 type conn struct {
 	*net.TCPConn
+	secure      *tls.Conn // over TCPConn; nil: no TLS
 	listener    *listener
 	multiplexed bool // HTTP/2
 	// verified is set once a request on the connection has proved to be a peer's.
@@ -62,7 +64,7 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.stream().Read(p)
 	if n > 0 {
 		if refusal := c.count(p[:n]); refusal != "" {
 			c.refuse(refusal)
@@ -121,7 +123,7 @@
 	g := c.listener.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.gone || !g.charge(c, connBytes+extra) {
+	if c.gone || !g.charge(c, c.base()+extra) {
 		return "memory"
 	}
 	return ""
@@ -141,7 +143,7 @@
 // Write implements net.Conn. A slow client holds what is being written to it.
 func (c *conn) Write(p []byte) (int, error) {
 	if len(p) <= largeWrite {
-		return c.TCPConn.Write(p)
+		return c.stream().Write(p)
 	}
 	g := c.listener.guard
 	g.mu.Lock()
@@ -153,7 +155,7 @@
 		}
 	}
 	g.mu.Unlock()
-	n, err := c.TCPConn.Write(p)
+	n, err := c.stream().Write(p)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !c.gone {
@@ -170,7 +172,36 @@
 	g.mu.Lock()
 	g.remove(c)
 	g.mu.Unlock()
-	return c.TCPConn.Close()
+	return c.stream().Close()
+}
+
+// CloseWrite ends what is sent to the client, which may send on.
+func (c *conn) CloseWrite() error {
+	if c.secure != nil {
+		return c.secure.CloseWrite()
+	}
+	return c.TCPConn.CloseWrite()
+}
+
+// ReadFrom implements io.ReaderFrom. That of net.TCPConn would pass by Write.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
+// base returns the memory of the connection without a request.
+func (c *conn) base() int64 {
+	if c.secure != nil {
+		return connBytes + tlsBytes
+	}
+	return connBytes
+}
+
+// stream returns the connection that carries plain text.
+func (c *conn) stream() net.Conn {
+	if c.secure != nil {
+		return c.secure
+	}
+	return c.TCPConn
 }
 
 // beginRequest counts a request whose head has been read, and reports whether there is room for it.
@@ -183,7 +214,7 @@
 		return false
 	}
 	c.since = time.Now()
-	return g.charge(c, connBytes+extra)
+	return g.charge(c, c.base()+extra)
 }
 
 // admit notes that the request has been read completely. It reports false if the connection has been closed.
@@ -212,7 +243,7 @@
 		return
 	}
 	c.whole, c.since = false, time.Now()
-	g.charge(c, connBytes)
+	g.charge(c, c.base())
 }
 
 // body is a request's body. Its end admits the request. What a client that is not verified sends to the peers' listener is held until the
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +22,7 @@
 type Options struct {
 	MemoryBytes int64 // memory of the machine; 0: not limited
 	Descriptors int   // file descriptors of the process; 0: not limited
+	Clients     int   // connections of clients; 0: as Descriptors allows
 	Log         *zap.Logger
 }
 
@@ -32,10 +34,14 @@
 	descriptorDivisor = 2
 	// peerDivisor divides the descriptors to give the connections of other entry VMs.
 	peerDivisor = 8
+	// minPeers is the least number of connections of other entry VMs where the number of clients is given.
+	minPeers = 64
 
 	// connBytes is the memory of a connection without a request: net/http's goroutine, buffers of 4 KB for reading and writing, and
 	// an ordinary head.
 	connBytes = 16 << 10
+	// tlsBytes is the memory of TLS on a connection: a record of 16 KB that is being read, and the state.
+	tlsBytes = 20 << 10
 	// ordinaryHeadBytes and ordinaryLines are part of connBytes. Callers send a few hundred bytes in 8 to 20 lines.
 	ordinaryHeadBytes = 4 << 10
 	ordinaryLines     = 64
@@ -74,17 +80,21 @@
 }
 
 // Protect makes s count its connections and requests, and returns the listener that s must serve. name is that of the listener in metrics
-// and log lines. The Handler of s must be set.
+// and log lines. The Handler of s must be set. If s has a TLSConfig, the listener carries out TLS itself, so that heads are counted in plain
+// text: s must use Serve, not ServeTLS, and serves HTTP/1 alone. Peers have no TLS with a Guard.
 func (g *Guard) Protect(s *http.Server, l net.Listener, name string, peers bool) net.Listener {
 	if g == nil {
 		return l
 	}
-	limit := g.opts.Descriptors / descriptorDivisor
+	limit := g.maxConns(peers)
 	if peers {
-		limit = g.opts.Descriptors / peerDivisor
 		s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: concurrentStreams, MaxReadFrameSize: maxFrameBytes}
 	}
 	p := &listener{Listener: l, guard: g, name: name, peers: peers, maxConns: limit}
+	if s.TLSConfig != nil {
+		p.tls = s.TLSConfig.Clone()
+		p.tls.NextProtos = []string{"http/1.1"}
+	}
 	s.Handler = p.handler(s.Handler)
 	state := s.ConnState
 	s.ConnState = func(c net.Conn, to http.ConnState) {
@@ -99,6 +109,20 @@
 	return p
 }
 
+// maxConns returns the number of connections for clients or for peers; 0: not limited.
+func (g *Guard) maxConns(peers bool) int {
+	o := g.opts
+	switch {
+	case peers && o.Clients > 0:
+		return max(o.Clients*descriptorDivisor/peerDivisor, minPeers)
+	case peers:
+		return o.Descriptors / peerDivisor
+	case o.Clients > 0:
+		return o.Clients
+	}
+	return o.Descriptors / descriptorDivisor
+}
+
 type connKey struct{}
 
 // listener is a net.Listener whose connections a Guard counts.
@@ -108,6 +132,7 @@
 	name     string
 	peers    bool // connections of other entry VMs have a limit of their own
 	maxConns int  // of all listeners with the same peers; 0: not limited
+	tls      *tls.Config
 }
 
 // Accept implements net.Listener. It does not return connections for which there is no room.
@@ -122,6 +147,9 @@
 			return accepted, nil
 		}
 		c := &conn{TCPConn: tcp, listener: l, since: time.Now()}
+		if l.tls != nil {
+			c.secure = tls.Server(tcp, l.tls)
+		}
 		if l.guard.add(c) {
 			return c, nil
 		}
@@ -185,7 +213,7 @@
 	if !c.listener.peers {
 		g.clients++
 	}
-	return g.charge(c, connBytes)
+	return g.charge(c, c.base())
 }
 
 func (g *Guard) count(peers bool) int {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -66,6 +66,9 @@
 	if o.Secret == "" {
 		return nil, trace.BadParameter("peer: the shared secret is empty")
 	}
+	if o.TLS != nil && o.Limits != nil {
+		return nil, trace.BadParameter("peer: frames of HTTP/2 over TLS can't be counted")
+	}
 	if o.Handlers == nil {
 		o.Handlers = &Handlers{}
 	}
--- a/server/authority.go
+++ b/server/authority.go
@@ -113,7 +113,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(api.Handler())
 	var err error
-	if a.admin, err = newListener(set.Operators.Listen, adminConnections, mux, s.log); err != nil {
+	if a.admin, err = newListener(set.Operators.Listen, adminConnections, mux, s.log, s.limits); err != nil {
 		return err
 	}
 	if set.Operators.Certificate != "" {
--- a/server/listener.go
+++ b/server/listener.go
@@ -14,17 +14,21 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 	"golang.org/x/net/netutil"
+
+	"bergamotcroft.example/bergamot/ingress"
 )
 
 // listener is an HTTP server on one address.
 type listener struct {
+	guarded     bool
 	socket      net.Listener
 	server      *http.Server
 	certificate *certificate
 	log         *zap.Logger
 }
 
-func newListener(address string, connections int, h http.Handler, log *zap.Logger) (*listener, error) {
+// newListener listens on an address. With a Guard, which protect sets later, the number of connections is the Guard's to limit.
+func newListener(address string, connections int, h http.Handler, log *zap.Logger, g *ingress.Guard) (*listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -33,8 +37,11 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if g == nil {
+		l = netutil.LimitListener(l, connections)
+	}
 	return &listener{
-		socket: netutil.LimitListener(l, connections), log: log,
+		socket: l, log: log,
 		server: &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: errorLog},
 	}, nil
 }
@@ -48,6 +55,13 @@
 
 func (l *listener) address() string { return l.socket.Addr().String() }
 
+// protect makes a Guard, which may be nil, count what clients hold. The server must have its handler and its certificate.
+func (l *listener) protect(g *ingress.Guard, name string) {
+	if l != nil && g != nil {
+		l.socket, l.guarded = g.Protect(l.server, l.socket, name, false), true
+	}
+}
+
 func (l *listener) useTLS(certFile, keyFile string) error {
 	c := &certificate{certFile: certFile, keyFile: keyFile, log: l.log}
 	if err := c.reload(); err != nil {
@@ -60,7 +74,7 @@
 
 func (l *listener) serve() error {
 	var err error
-	if l.certificate != nil {
+	if l.certificate != nil && !l.guarded {
 		err = l.server.ServeTLS(l.socket, "", "")
 	} else {
 		err = l.server.Serve(l.socket)
--- a/server/members.go
+++ b/server/members.go
@@ -75,7 +75,7 @@
 	m.client = peer.NewClient(peer.ClientOptions{Secret: secret})
 	m.fetch = peer.NewClient(peer.ClientOptions{Secret: secret, Timeout: fetchTimeout})
 	handlers := &peer.Handlers{}
-	if m.server, err = peer.New(peer.Options{Listener: m.listener, Secret: secret, Handlers: handlers}); err != nil {
+	if m.server, err = peer.New(peer.Options{Listener: m.listener, Secret: secret, Handlers: handlers, Limits: s.limits}); err != nil {
 		return trace.Wrap(err)
 	}
 	if err := s.buildMembership(secret); err != nil {
--- a/server/parts.go
+++ b/server/parts.go
@@ -144,5 +144,8 @@
 	}
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	s.gateway.WriteMetrics(w)
+	if s.limits != nil {
+		s.limits.WriteMetrics(w)
+	}
 	metrics.WritePrometheus(w, true)
 }
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 
 	"bergamotcroft.example/bergamot/configuration"
 	"bergamotcroft.example/bergamot/gateway"
+	"bergamotcroft.example/bergamot/ingress"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/quarantine"
 	"bergamotcroft.example/bergamot/settings"
@@ -45,6 +46,7 @@
 	gateway *gateway.Gateway
 	subset  *subsets
 	reports *loadReports
+	limits  *ingress.Guard // of what clients hold; nil: not bounded
 	callers *listener
 	metrics *listener
 	group   run.Group
@@ -71,6 +73,9 @@
 // build creates the components in the order of their dependencies.
 func (s *Server) build() error {
 	set := s.opts.Settings
+	if set.MemoryBytes > 0 {
+		s.limits = ingress.New(ingress.Options{MemoryBytes: set.MemoryBytes, Clients: set.Callers.MaxConnections, Log: s.log})
+	}
 	if err := s.listen(); err != nil {
 		return err
 	}
@@ -101,14 +106,22 @@
 		CallerSeries: set.Gateway.CallerSeries, ServiceTimeout: set.Gateway.ServiceTimeout.D(),
 	})
 	s.callers.server.Handler = s.gateway
-	return s.buildAuthority()
+	if err := s.buildAuthority(); err != nil {
+		return err
+	}
+	s.callers.protect(s.limits, "callers")
+	s.metrics.protect(s.limits, "metrics")
+	if s.control != nil {
+		s.control.admin.protect(s.limits, "operators")
+	}
+	return nil
 }
 
 // listen opens the listeners. Run serves them.
 func (s *Server) listen() error {
 	set := s.opts.Settings
 	var err error
-	if s.callers, err = newListener(set.Callers.Listen, set.Callers.MaxConnections, nil, s.log); err != nil {
+	if s.callers, err = newListener(set.Callers.Listen, set.Callers.MaxConnections, nil, s.log, s.limits); err != nil {
 		return err
 	}
 	h := s.callers.server
@@ -121,7 +134,7 @@
 	if set.Metrics.Listen == "" {
 		return nil
 	}
-	s.metrics, err = newListener(set.Metrics.Listen, metricsConnections, http.HandlerFunc(s.serveMetrics), s.log)
+	s.metrics, err = newListener(set.Metrics.Listen, metricsConnections, http.HandlerFunc(s.serveMetrics), s.log, s.limits)
 	return err
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -19,21 +19,22 @@
 
 // Settings are the settings of one entry VM.
 type Settings struct {
-	Name       string     `json:"name" required:"true" doc:"Name of this entry VM, unique in the fleet."`
-	DataCentre string     `json:"data_centre" required:"true" doc:"Data centre of this entry VM."`
-	Cores      int        `json:"cores" default:"0" min:"0" max:"1024" doc:"Size by which callers are spread; 0: the number of cores that the process sees."`
-	Log        Log        `json:"log"`
-	Callers    Callers    `json:"callers"`
-	Operators  Operators  `json:"operators"`
-	Metrics    Metrics    `json:"metrics"`
-	Peers      Peers      `json:"peers"`
-	Platform   Platform   `json:"platform"`
-	Gateway    Gateway    `json:"gateway"`
-	Upstreams  Upstreams  `json:"upstreams"`
-	Policies   Policies   `json:"policies"`
-	Quarantine Quarantine `json:"quarantine"`
-	Control    Control    `json:"control"`
-	Shutdown   Shutdown   `json:"shutdown"`
+	Name        string     `json:"name" required:"true" doc:"Name of this entry VM, unique in the fleet."`
+	DataCentre  string     `json:"data_centre" required:"true" doc:"Data centre of this entry VM."`
+	Cores       int        `json:"cores" default:"0" min:"0" max:"1024" doc:"Size by which callers are spread; 0: the number of cores that the process sees."`
+	MemoryBytes int64      `json:"memory_bytes" default:"0" min:"0" max:"17592186044416" doc:"Memory of the VM. An eighth of it bounds what clients hold before a request of theirs is admitted, over all listeners; listeners with TLS then serve HTTP/1 alone. 0: not bounded."`
+	Log         Log        `json:"log"`
+	Callers     Callers    `json:"callers"`
+	Operators   Operators  `json:"operators"`
+	Metrics     Metrics    `json:"metrics"`
+	Peers       Peers      `json:"peers"`
+	Platform    Platform   `json:"platform"`
+	Gateway     Gateway    `json:"gateway"`
+	Upstreams   Upstreams  `json:"upstreams"`
+	Policies    Policies   `json:"policies"`
+	Quarantine  Quarantine `json:"quarantine"`
+	Control     Control    `json:"control"`
+	Shutdown    Shutdown   `json:"shutdown"`
 }
 
 // Log configures the log.
@@ -54,7 +55,7 @@
 	IdleTimeout    topo.Duration `json:"idle_timeout" default:"2m" min:"1s" max:"1h" doc:"Time that an idle connection is kept."`
 	MaxHeaderBytes int           `json:"max_header_bytes" default:"16384" min:"4096" max:"1048576" doc:"Largest header of a request."`
 	MaxBodyBytes   int64         `json:"max_body_bytes" default:"4194304" min:"1024" max:"268435456" doc:"Largest body of a request."`
-	MaxConnections int           `json:"max_connections" default:"20000" min:"16" max:"1000000" doc:"Connections open at once; more wait to be accepted."`
+	MaxConnections int           `json:"max_connections" default:"20000" min:"16" max:"1000000" doc:"Connections open at once; more wait to be accepted, or, with memory_bytes, over all listeners but that of peers, take the place of one without a complete request. Peers may open a quarter of it, at least 64."`
 }
 
 // Operators configures the administration listener.
