--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -238,8 +238,8 @@
 	return g.clients
 }
 
-// charge sets what a connection holds to n and what is being written to it. If that is more than there is, others are closed, or c itself if it holds the most; then charge
-// reports false and c is no longer counted. Callers hold g.mu.
+// charge sets what a connection holds to n and what is being written to it. If that is more than there is, others are closed, or c itself if
+// it holds the most; then charge reports false and c is no longer counted. Callers hold g.mu.
 func (g *Guard) charge(c *conn, n int64) bool {
 	n += c.unsent
 	grows := n > c.held
--- a/server/listener.go
+++ b/server/listener.go
@@ -20,7 +20,7 @@
 
 // listener is an HTTP server on one address.
 type listener struct {
-	guarded     bool
+	guarded     bool // by a Guard, which carries out TLS
 	socket      net.Listener
 	server      *http.Server
 	certificate *certificate
