--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -1,7 +1,7 @@
 package ingress
 
 import (
-	"bytes"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -14,16 +14,23 @@
 // conn is a connection of a client.
 type conn struct {
 	*net.TCPConn
+	secure      *tls.Conn // over TCPConn; nil: no TLS
 	listener    *listener
-	multiplexed bool // HTTP/2, whose frames are not counted
+	multiplexed bool // HTTP/2
+	// verified is set once a request on the connection has proved to be a peer's.
+	verified atomic.Bool
 	// headEnded is set between the end of a head and awaitHead. net/http reads in another goroutine while a handler runs.
 	headEnded atomic.Bool
-	head      bounded.HeadCounter // used by the reading goroutine only
+	// The fields below are used by the reading goroutine only.
+	head   bounded.HeadCounter
+	start  []byte // the first bytes, which tell HTTP/2 from HTTP/1
+	frames frameCounter
 
 	// The fields below are guarded by the Guard's mutex.
 	held    int64
 	since   time.Time // of the present state
 	writing time.Time // start of a large write; zero: none
+	unsent  int64     // size of that write, part of held
 	whole   bool      // the request has been read completely
 	served  bool      // a request was read completely before
 	gone    bool      // no longer counted; the connection is closed
@@ -37,10 +44,11 @@
 	if c.whole {
 		return !c.writing.IsZero() && now.Sub(c.writing) >= slowWrite
 	}
-	return !c.multiplexed
+	return !c.multiplexed || !c.verified.Load()
 }
 
-// yieldsMemory reports whether closing the connection helps other clients. Those of other entry VMs are kept, unless they send large heads.
+// yieldsMemory reports whether closing the connection helps other clients. Those of other entry VMs are kept, unless they send large heads,
+// or many streams or long messages before they are verified.
 func (c *conn) yieldsMemory() bool { return !c.listener.peers || c.held > connBytes }
 
 // before reports whether c is closed before d.
@@ -56,9 +64,9 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.headEnded.Load() {
-		if refusal := c.countHead(p[:n]); refusal != "" {
+	n, err := c.stream().Read(p)
+	if n > 0 {
+		if refusal := c.count(p[:n]); refusal != "" {
 			c.refuse(refusal)
 			return 0, errRefused
 		}
@@ -66,15 +74,38 @@
 	return n, err
 }
 
+// count counts bytes that have been read. It returns the reason for which the connection must be closed, if there is one.
+func (c *conn) count(b []byte) string {
+	switch {
+	case c.multiplexed && c.verified.Load():
+		return ""
+	case c.multiplexed:
+		return c.countFrames(b)
+	case c.headEnded.Load():
+		return ""
+	}
+	return c.countHead(b)
+}
+
+// beginsHTTP2 reports whether the bytes that have been read and b, the next ones, begin a connection of HTTP/2.
+func (c *conn) beginsHTTP2(b []byte) bool {
+	if !c.listener.peers || len(c.start) == len(prefaceStart) {
+		return false
+	}
+	c.start = append(c.start, b[:min(len(b), len(prefaceStart)-len(c.start))]...)
+	return string(c.start) == prefaceStart
+}
+
 // countHead counts bytes of a head. It returns the reason for which the connection must be closed, if there is one.
 func (c *conn) countHead(b []byte) string {
-	if c.listener.peers && c.head.Size == 0 && bytes.HasPrefix(b, []byte("PRI")) {
+	if c.beginsHTTP2(b) {
 		g := c.listener.guard
 		g.mu.Lock()
 		c.multiplexed = true
 		g.mu.Unlock()
 		c.headEnded.Store(true)
-		return ""
+		c.frames.skip = prefaceBytes - c.head.Size
+		return c.countFrames(b)
 	}
 	if c.head.Count(b) {
 		c.headEnded.Store(true)
@@ -92,7 +123,7 @@
 	g := c.listener.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.gone || !g.charge(c, connBytes+extra) {
+	if c.gone || !g.charge(c, c.base()+extra) {
 		return "memory"
 	}
 	return ""
@@ -112,25 +143,25 @@
 // Write implements net.Conn. A slow client holds what is being written to it.
 func (c *conn) Write(p []byte) (int, error) {
 	if len(p) <= largeWrite {
-		return c.TCPConn.Write(p)
+		return c.stream().Write(p)
 	}
 	g := c.listener.guard
 	g.mu.Lock()
 	if !c.gone {
-		c.writing = time.Now()
-		g.held += int64(len(p))
-		c.held += int64(len(p))
+		c.writing, c.unsent = time.Now(), int64(len(p))
+		g.held += c.unsent
+		c.held += c.unsent
 		for g.short() && g.evict("memory", func(o *conn) bool { return o != c && o.yieldsMemory() }) {
 		}
 	}
 	g.mu.Unlock()
-	n, err := c.TCPConn.Write(p)
+	n, err := c.stream().Write(p)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !c.gone {
-		c.writing = time.Time{}
-		g.held -= int64(len(p))
-		c.held -= int64(len(p))
+		g.held -= c.unsent
+		c.held -= c.unsent
+		c.writing, c.unsent = time.Time{}, 0
 	}
 	return n, err
 }
@@ -141,7 +172,36 @@
 	g.mu.Lock()
 	g.remove(c)
 	g.mu.Unlock()
-	return c.TCPConn.Close()
+	return c.stream().Close()
+}
+
+// CloseWrite ends what is sent to the client, which may send on.
+func (c *conn) CloseWrite() error {
+	if c.secure != nil {
+		return c.secure.CloseWrite()
+	}
+	return c.TCPConn.CloseWrite()
+}
+
+// ReadFrom implements io.ReaderFrom. That of net.TCPConn would pass by Write.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
+// base returns the memory of the connection without a request.
+func (c *conn) base() int64 {
+	if c.secure != nil {
+		return connBytes + tlsBytes
+	}
+	return connBytes
+}
+
+// stream returns the connection that carries plain text.
+func (c *conn) stream() net.Conn {
+	if c.secure != nil {
+		return c.secure
+	}
+	return c.TCPConn
 }
 
 // beginRequest counts a request whose head has been read, and reports whether there is room for it.
@@ -154,7 +214,7 @@
 		return false
 	}
 	c.since = time.Now()
-	return g.charge(c, connBytes+extra)
+	return g.charge(c, c.base()+extra)
 }
 
 // admit notes that the request has been read completely. It reports false if the connection has been closed.
@@ -183,18 +243,27 @@
 		return
 	}
 	c.whole, c.since = false, time.Now()
-	g.charge(c, connBytes)
+	g.charge(c, c.base())
 }
 
-// body is a request's body. Its end admits the request.
+// body is a request's body. Its end admits the request. What a client that is not verified sends to the peers' listener is held until the
+// whole body has been read.
 type body struct {
 	io.ReadCloser
-	conn *conn
+	conn       *conn
+	head, read int64
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.read += int64(n)
+	if c := b.conn; c.listener.peers && n > 0 && b.read > ordinaryData {
+		if refusal := c.hold(connBytes + b.head + dataCost(b.read)); refusal != "" {
+			c.refuse(refusal)
+			return 0, errRefused
+		}
+	}
 	if errors.Is(err, io.EOF) && !b.conn.admit() {
 		err = errRefused
 	}
--- a/server/authority.go
+++ b/server/authority.go
@@ -113,7 +113,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(api.Handler())
 	var err error
-	if a.admin, err = newListener(set.Operators.Listen, adminConnections, mux, s.log); err != nil {
+	if a.admin, err = newListener(set.Operators.Listen, adminConnections, mux, s.log, s.limits); err != nil {
 		return err
 	}
 	if set.Operators.Certificate != "" {
@@ -150,10 +150,13 @@
 		}
 	}
 	err := m.s.gateway.Do(ctx, func(now time.Duration, sched *scheduler.Scheduler) { mix = sched.Mix(now, model) })
+	if err != nil { // the function may still run
+		return policy.Mix{}, false
+	}
 	n := float64(len(m.s.members.list.Members()))
 	mix.PrefillTokensPerSecond *= n
 	mix.DecodeTokensPerSecond *= n
-	return mix, err == nil
+	return mix, true
 }
 
 // engines returns the engines of the configuration in force.
