soak: slow readers

Nothing in the soak read an answer slowly, stopped reading, or read a request's body slowly, so that memory which such clients and upstreams make an entry VM hold was not checked beside faults.

The existing checks of memory and of ended processes apply; new is that 95 % of the ordinary requests are served meanwhile. Proxies have buffers of 256 KB, since the kernel's usual ones hold several MB that are not read.

--- a/soak/observations.go
+++ b/soak/observations.go
@@ -21,6 +21,7 @@
 	crashOutages     map[string][]interval    // by upstream: when it was down after a request crashed it
 	quietPeriods     []quietPeriod            // in which upstreams asked for no requests
 	limitPeriods     []limitPeriod            // in which upstreams named a limit
+	slowPeriods      []interval               // in which clients and upstreams read slowly
 	routeChanges     []routeChange            // of the moving route, in order of time
 	plannedStops     map[string][]interval    // by entry VM
 	hangups          map[string][]interval    // by entry VM: from a SIGHUP until configWithin after it
@@ -166,6 +167,7 @@
 	o.judgeLeavingAndQuiet(timed, add)
 	if timed {
 		o.judgeLimits(add)
+		o.judgeSlowReaders(add)
 	}
 	o.judgeRecovery(add)
 	return out
@@ -268,8 +270,15 @@
 		}
 		return
 	}
+	if c.class == slowClass { // it gets the end of its answer as late as it reads
+		return
+	}
 	limit := standin.RouteTimeout(c.Path, routeTimeout)
-	if took := c.Ended.Sub(c.began); took > limit+answerMargin+timedMargin && c.entry.undisturbed(c.began, c.Ended) {
+	from := c.began
+	if c.class == uploadClass && !c.Sent.IsZero() {
+		from = c.Sent // sending 4 MB takes part of a second on a busy machine
+	}
+	if took := c.Ended.Sub(from); took > limit+answerMargin+timedMargin && c.entry.undisturbed(c.began, c.Ended) {
 		add("answers come within the route's time", "%s at %s (%s) took %s, status %d, error %v", c.ID, c.entry.name, c.class, took, c.Status, c.Err)
 	}
 	if c.Whole || c.Sent.IsZero() || c.Ended.Sub(c.began) >= min(c.Deadline, limit) {
--- a/soak/observations_test.go
+++ b/soak/observations_test.go
@@ -85,6 +85,20 @@
 	}
 }
 
+// besideSlowReaders records requests that were served and that were refused while clients read slowly, and a slow one that failed.
+func (s *scenario) besideSlowReaders(served, refused int) {
+	s.observed.slowPeriods = []interval{{s.after(0), s.after(5000)}}
+	for i := range served + refused {
+		s.call(fmt.Sprintf("read%d", i), 1000+i, 1010+i, func(o *standin.Outcome) {
+			if i < refused {
+				o.Status = 503
+			}
+		})
+	}
+	s.call("once", 1000, 1010, func(o *standin.Outcome) { o.Status = 504 })
+	s.observed.calls[len(s.observed.calls)-1].class = uploadClass
+}
+
 // cutInStop records a stream that a planned stop from 0 to stopGrace cuts while its server is at work.
 func (s *scenario) cutInStop(from, sent, cut int) {
 	s.observed.plannedStops["vm0"] = []interval{{s.after(0), s.after(int(stopGrace / time.Millisecond))}}
@@ -300,6 +314,28 @@
 			s.observed.linkDisturbances = map[string][]interval{"i": {{s.after(3000), s.after(4000)}}}
 			s.runsUnderLimit(30, 100)
 		}},
+		{"ordinary requests are answered beside slow clients", func(s *scenario) { s.besideSlowReaders(94, 6) }},
+		{"", func(s *scenario) { s.besideSlowReaders(95, 5) }},
+		{"", func(s *scenario) { // a server was down
+			s.observed.crashOutages = map[string][]interval{"i": {{s.after(1000), s.after(1100)}}}
+			s.besideSlowReaders(90, 10)
+		}},
+		{"answers are whole and their own", func(s *scenario) {
+			s.call("read", 0, 9000, func(o *standin.Outcome) { o.Disconnected, o.Whole, o.Violation = true, false, "other bytes" })
+			s.observed.calls[0].class = slowClass
+		}},
+		{"answers come within the route's time", func(s *scenario) {
+			s.call("once", 0, 6002, func(o *standin.Outcome) { o.Sent = s.after(1000) })
+			s.observed.calls[0].class = uploadClass
+		}},
+		{"", func(s *scenario) { // the upload took a second
+			s.call("once", 0, 5999, func(o *standin.Outcome) { o.Sent = s.after(1000) })
+			s.observed.calls[0].class = uploadClass
+		}},
+		{"", func(s *scenario) { // a slow client gets the end of its answer as late as it reads
+			s.call("read", 0, 9000, nil)
+			s.observed.calls[0].class = slowClass
+		}},
 		{"service recovers", func(s *scenario) {
 			s.observed.faultsEnded = s.after(0)
 			s.call("read", 13000, 13100, func(o *standin.Outcome) { o.Status = 502 })
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -99,6 +99,9 @@
 	}
 }
 
+// proxyBuffer bounds the kernel's buffers of a proxied connection, so that what one end does not read stays with the other.
+const proxyBuffer = 256 << 10
+
 func (p *proxy) serve(clientConn *net.TCPConn) {
 	p.mu.Lock()
 	target, direction := p.target, p.cut
@@ -108,6 +111,10 @@
 		conns.Reset(clientConn) // as from a closed port
 		return
 	}
+	for _, c := range []*net.TCPConn{clientConn, targetConn.(*net.TCPConn)} {
+		_ = c.SetReadBuffer(proxyBuffer)
+		_ = c.SetWriteBuffer(proxyBuffer)
+	}
 	conn := &proxiedConn{clientConn: clientConn, targetConn: targetConn, healed: make(chan struct{})}
 	conn.setCut(direction)
 	p.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -197,7 +197,7 @@
 			s.failed++
 		}
 	}
-	for _, class := range classes {
+	for _, class := range append(slices.Clone(classes), slowClass, uploadClass) {
 		if s := counts[class]; s != nil {
 			fmt.Fprintf(out, "; %s %d served, %d refused, %d failed, %d left", class, s.served, s.refused, s.failed, s.left)
 		}
