soak: stand-ins on addresses of their own run

Cause: the store, the upstreams and the proxies of all runs listened on 127.0.0.1.

Change: these listeners use a loopback address that depends on the process number, as those of the entry VMs do.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -121,7 +121,7 @@
 		linkDisturbances: map[string][]interval{}, crashOutages: map[string][]interval{},
 	}}
 	var err error
-	if fl.storeListener, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
+	if fl.storeListener, err = net.Listen("tcp4", ownIP()+":0"); err != nil {
 		return fl, trace.Wrap(err)
 	}
 	fl.storeServer = &http.Server{Handler: fl.store, ReadHeaderTimeout: 5 * time.Second}
@@ -176,6 +176,10 @@
 func zoneOf(i int) string { return fmt.Sprintf("dc%d", i%dataCentres) }
 func ipOf(i int) string   { return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+i/200, 1+i%200) }
 
+// ownIP returns the address of the store, the upstreams and the proxies. Other runs that are under way have other ones, and entry VMs that
+// go on calling a store that was closed don't reach the servers of this run.
+func ownIP() string { return fmt.Sprintf("127.%d.0.1", 1+os.Getpid()%250) }
+
 func (fl *fleet) address(e *entryVM, port int) string {
 	return net.JoinHostPort(e.ip, fmt.Sprint(fl.basePort+port))
 }
@@ -338,7 +342,7 @@
 	// The process number keeps apart soaks that run at once and reuse one another's ports.
 	n.id = fmt.Sprintf("i-%s-%d-%d-%d", n.service, slices.Index(fl.nodes, n), n.starts, os.Getpid())
 	starts := n.starts
-	o := standin.ServerOptions{ID: n.id, Service: n.service, Phase: n.phase, Version: n.version, Streams: n.streams, Slots: 32, Work: serverWork, Observe: fl.recordRun,
+	o := standin.ServerOptions{ID: n.id, IP: ownIP(), Service: n.service, Phase: n.phase, Version: n.version, Streams: n.streams, Slots: 32, Work: serverWork, Observe: fl.recordRun,
 		Crashed: func() { fl.replaceCrashedServer(n, starts) }}
 	s, err := standin.NewServer(o)
 	if err != nil {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -41,7 +41,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", ownIP()+":0")
 	if err != nil {
 		return nil, err
 	}
