soak: capacity that is taken away

The fault capacity-reclaimed brings two scaled services of its own, which no other fault touches, and an API that carries out orders (standin.Duties, POST /scale): start-up 4 s, max 6 in each data centre, 409 for 8 to 11 s after a reclaim. Requests of 0.05 to 4 s run meanwhile. Checked: no new work and no prompt later than drain_ms and 50 ms after the notice; idempotent requests and streams that may be resumed are whole or refused; servers are ordered elsewhere within 3.5 s where max leaves room; one holder at a time with a growing fencing number, never above max. That requests run once was checked before. A plan without this kind of fault plays as before.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -162,6 +162,7 @@
 	"false-continuation": func(fl *fleet, f fault) { fl.falseContinuations(f) },
 	"crash-restarts":     func(fl *fleet, f fault) { fl.crashOverRestarts(f) },
 	"paused-release":     func(fl *fleet, f fault) { fl.releaseDuringPause(f) },
+	capacityKind:         func(fl *fleet, f fault) { fl.reclaimCapacity(f) },
 	"slow-readers":       func(fl *fleet, f fault) { fl.slowReaders(f) },
 	"config-change":      func(fl *fleet, _ fault) { fl.writeConfiguration() },
 	"config-storm": func(fl *fleet, f fault) {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -96,8 +96,9 @@
 	basePort      int
 
 	version       uint64
-	movingService string // service of the moving route
-	releases      int    // of the software of the servers that stream
+	movingService string    // service of the moving route
+	capacity      *capacity // nil: no servers can be ordered
+	releases      int       // of the software of the servers that stream
 
 	peakBytes int64 // largest resident memory of any entry VM, set by judgeMemory
 
@@ -126,6 +127,11 @@
 	}
 	fl.storeServer = &http.Server{Handler: fl.store, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = fl.storeServer.Serve(fl.storeListener) }() // until close
+	if o.scales {
+		if fl.capacity, err = newCapacity(fl); err != nil {
+			return fl, err
+		}
+	}
 	fl.writeConfiguration()
 	for i := range o.Servers {
 		zone := zoneOf(i)
@@ -229,7 +235,11 @@
 		"platform": map[string]any{"address": e.store.address(), "writes_per_s": 400, "reads_per_s": 2000, "value_bytes": 1 << 20},
 	}
 	if a := fl.options.dutiesAddress; a != "" {
-		settings["cloud"] = map[string]any{"address": a, "duties": []string{"usage"}, "duty_per_s": 50}
+		duty := "usage"
+		if fl.capacity != nil {
+			duty = "autoscale"
+		}
+		settings["cloud"] = map[string]any{"address": a, "duties": []string{duty}, "duty_per_s": 50}
 	}
 	b, err := json.Marshal(settings)
 	if err != nil {
@@ -406,6 +416,9 @@
 	}
 	fl.version += 1 + uint64(time.Now().UnixNano()%5)
 	configuration := standin.Config(fl.version, host, fl.movingService, routeTimeout)
+	if fl.capacity != nil {
+		configuration = fl.capacity.configuration(configuration)
+	}
 	if fl.options.editConfiguration != nil {
 		configuration = fl.options.editConfiguration(configuration)
 	}
@@ -432,6 +445,9 @@
 			e.store.close()
 		}
 	}
+	if fl.capacity != nil {
+		fl.capacity.close()
+	}
 	for _, n := range fl.nodes {
 		n.link.close()
 		if n.server != nil {
--- a/soak/judge_upstreams.go
+++ b/soak/judge_upstreams.go
@@ -33,6 +33,7 @@
 var allowedServices = map[string][]string{
 	"once": {"app"}, "read": {"app"}, "stream": {"text"}, "resume": {"text"}, "moving": {"app", "other"},
 	"long": {"app"}, "long-stream": {"text"},
+	"long-spot-once": {scaledService}, "long-spot-read": {scaledService}, "long-spot-stream": {scaledEngines}, "long-spot-resume": {scaledEngines},
 }
 
 // judgeRequests checks that each request that an upstream ran was sent by a client, arrived unchanged and belongs to the upstream's service.
--- a/soak/observations.go
+++ b/soak/observations.go
@@ -22,6 +22,9 @@
 	quietPeriods     []quietPeriod            // in which upstreams asked for no requests
 	limitPeriods     []limitPeriod            // in which upstreams named a limit
 	slowPeriods      []interval               // in which clients and upstreams read slowly
+	reclaims         []reclaim                // of preemptible servers
+	capacityOrders   []capacityOrder          // that the platform accepted
+	capacityBreaches []string                 // calls for orders that broke a rule
 	routeChanges     []routeChange            // of the moving route, in order of time
 	plannedStops     map[string][]interval    // by entry VM
 	hangups          map[string][]interval    // by entry VM: from a SIGHUP until configWithin after it
@@ -165,6 +168,7 @@
 	o.judgeCrashes(timed, add)
 	o.judgeCrashingParts(add)
 	o.judgeLeavingAndQuiet(timed, add)
+	o.judgeCapacity(timed, add)
 	if timed {
 		o.judgeLimits(add)
 		o.judgeSlowReaders(add)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -34,6 +34,7 @@
 
 	editConfiguration func(json.RawMessage) json.RawMessage // called before each configuration is written; nil: none
 	dutiesAddress     string                                // of a standin.Duties; empty: no usage is reported
+	scales            bool                                  // the platform takes orders for servers of the scaled services
 }
 
 const (
@@ -44,6 +45,8 @@
 
 // Run runs the soak test with one seed and returns the promises that were not kept.
 func Run(ctx context.Context, o Options) ([]Finding, error) {
+	plan := newPlan(o.Seed, o.For, o.Only)
+	o.scales = slices.ContainsFunc(plan, func(f fault) bool { return f.kind == capacityKind })
 	fl, err := newFleet(o)
 	defer fl.close()
 	if err != nil {
@@ -54,7 +57,6 @@
 	if err := fl.waitReady(starting); err != nil {
 		return nil, err
 	}
-	plan := newPlan(o.Seed, o.For, o.Only)
 	traffic, stop := context.WithCancel(ctx)
 	defer stop()
 	var clients sync.WaitGroup
@@ -73,6 +75,9 @@
 	clients.Wait()
 	time.Sleep(timedMargin) // lets the runs of the last requests end
 	fl.judgeMemory()
+	if fl.capacity != nil {
+		fl.observed.capacityBreaches = fl.capacity.api.Breaches()
+	}
 	findings := fl.observed.judge(o.Timed)
 	fl.printSummary(o.Output, plan)
 	return findings, trace.Wrap(ctx.Err())
@@ -202,5 +207,8 @@
 			fmt.Fprintf(out, "; %s %d served, %d refused, %d failed, %d left", class, s.served, s.refused, s.failed, s.left)
 		}
 	}
+	for _, r := range fl.observed.reclaims {
+		fmt.Fprintf(out, "; taken away in %s %v with %d runs, ordered in their place %v", r.zone, r.lost, fl.observed.brokenRuns(r), fl.observed.replacements(r))
+	}
 	fmt.Fprintf(out, "; longest %s, most memory %d MB\n", longest.Round(time.Millisecond), fl.peakBytes>>20)
 }
