--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -96,8 +96,9 @@
 	basePort      int
 
 	version       uint64
-	movingService string // service of the moving route
-	releases      int    // of the software of the servers that stream
+	movingService string    // service of the moving route
+	capacity      *capacity // nil: no servers can be ordered
+	releases      int       // of the software of the servers that stream
 
 	peakBytes int64 // largest resident memory of any entry VM, set by judgeMemory
 
@@ -121,11 +122,16 @@
 		linkDisturbances: map[string][]interval{}, crashOutages: map[string][]interval{},
 	}}
 	var err error
-	if fl.storeListener, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
+	if fl.storeListener, err = net.Listen("tcp4", ownIP()+":0"); err != nil {
 		return fl, trace.Wrap(err)
 	}
 	fl.storeServer = &http.Server{Handler: fl.store, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = fl.storeServer.Serve(fl.storeListener) }() // until close
+	if o.scales {
+		if fl.capacity, err = newCapacity(fl); err != nil {
+			return fl, err
+		}
+	}
 	fl.writeConfiguration()
 	for i := range o.Servers {
 		zone := zoneOf(i)
@@ -176,6 +182,10 @@
 func zoneOf(i int) string { return fmt.Sprintf("dc%d", i%dataCentres) }
 func ipOf(i int) string   { return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+i/200, 1+i%200) }
 
+// ownIP returns the address of the store, the upstreams and the proxies. Other runs that are under way have other ones, and entry VMs that
+// go on calling a store that was closed don't reach the servers of this run.
+func ownIP() string { return fmt.Sprintf("127.%d.0.1", 1+os.Getpid()%250) }
+
 func (fl *fleet) address(e *entryVM, port int) string {
 	return net.JoinHostPort(e.ip, fmt.Sprint(fl.basePort+port))
 }
@@ -225,7 +235,11 @@
 		"platform": map[string]any{"address": e.store.address(), "writes_per_s": 400, "reads_per_s": 2000, "value_bytes": 1 << 20},
 	}
 	if a := fl.options.dutiesAddress; a != "" {
-		settings["cloud"] = map[string]any{"address": a, "duties": []string{"usage"}, "duty_per_s": 50}
+		duty := "usage"
+		if fl.capacity != nil {
+			duty = "autoscale"
+		}
+		settings["cloud"] = map[string]any{"address": a, "duties": []string{duty}, "duty_per_s": 50}
 	}
 	b, err := json.Marshal(settings)
 	if err != nil {
@@ -338,7 +352,7 @@
 	// The process number keeps apart soaks that run at once and reuse one another's ports.
 	n.id = fmt.Sprintf("i-%s-%d-%d-%d", n.service, slices.Index(fl.nodes, n), n.starts, os.Getpid())
 	starts := n.starts
-	o := standin.ServerOptions{ID: n.id, Service: n.service, Phase: n.phase, Version: n.version, Streams: n.streams, Slots: 32, Work: serverWork, Observe: fl.recordRun,
+	o := standin.ServerOptions{ID: n.id, IP: ownIP(), Service: n.service, Phase: n.phase, Version: n.version, Streams: n.streams, Slots: 32, Work: serverWork, Observe: fl.recordRun,
 		Crashed: func() { fl.replaceCrashedServer(n, starts) }}
 	s, err := standin.NewServer(o)
 	if err != nil {
@@ -402,6 +416,9 @@
 	}
 	fl.version += 1 + uint64(time.Now().UnixNano()%5)
 	configuration := standin.Config(fl.version, host, fl.movingService, routeTimeout)
+	if fl.capacity != nil {
+		configuration = fl.capacity.configuration(configuration)
+	}
 	if fl.options.editConfiguration != nil {
 		configuration = fl.options.editConfiguration(configuration)
 	}
@@ -428,6 +445,9 @@
 			e.store.close()
 		}
 	}
+	if fl.capacity != nil {
+		fl.capacity.close()
+	}
 	for _, n := range fl.nodes {
 		n.link.close()
 		if n.server != nil {
