--- a/soak/addresses_test.go
+++ b/soak/addresses_test.go
@@ -22,3 +22,11 @@
 		is.True(strings.HasPrefix(address, ownIP()+":"))
 	}
 }
+
+// Guards against a panic during a run whose kinds of faults are misspelt.
+func TestUnknownKindsAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, err := Run(t.Context(), Options{Only: []string{"server-crash", "hangups"}})
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), `"hangups"`))
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,6 +45,11 @@
 
 // Run runs the soak test with one seed and returns the promises that were not kept.
 func Run(ctx context.Context, o Options) ([]Finding, error) {
+	for _, kind := range o.Only {
+		if kinds[kind] == nil {
+			return nil, trace.BadParameter("no kind of fault is named %q", kind)
+		}
+	}
 	plan := newPlan(o.Seed, o.For, o.Only)
 	o.scales = slices.ContainsFunc(plan, func(f fault) bool { return f.kind == capacityKind })
 	fl, err := newFleet(o)
