--- a/ctl/query_test.go
+++ b/ctl/query_test.go
@@ -43,11 +43,11 @@
 		LeftOut:  []explain.LeftOut{{Upstream: "p3", Reason: "excluded: stalled"}},
 		Decision: explain.RouteOutcome{Decision: "sent", PromptEngine: "p0", DecodeEngine: "d1", KVSource: "p7", CachedTokens: 4000},
 	}
-	args := []string{"route", "POST", "/chat/x?a=1", "--body", "-", "--header", "Prompt-Prefix: x:4000,y:1000", "--header", "host: h", "--account", "hotel"}
+	args := []string{"route", "POST", "/chat/x?a=1", "--body", "-", "--header", "X-Sections: x:4000,y:1000", "--header", "host: h", "--account", "hotel"}
 	exit, out, errs, got, header := ask(t, http.StatusOK, answer, "the body", args...)
 	is.Equal([]any{exit, errs}, []any{exitOK, ""})
 	is.Equal(*got, explain.RouteQuery{
-		Method: "POST", Path: "/chat/x?a=1", Headers: map[string][]string{"Prompt-Prefix": {"x:4000,y:1000"}, "Host": {"h"}}, Body: []byte("the body"), Account: "hotel",
+		Method: "POST", Path: "/chat/x?a=1", Headers: map[string][]string{"X-Sections": {"x:4000,y:1000"}, "Host": {"h"}}, Body: []byte("the body"), Account: "hotel",
 	})
 	is.Equal(header.Get("Authorization"), "")
 	for _, want := range []string{"sent: prompt at p0, output at d1, KV cache of 4000 tokens from p7", "3 waiting, 1 of them before it", "240.5", "and 9 more", "excluded: stalled"} {
