edge, server: metrics are collected for one client at a time

Each answer reads the metrics of the process from several files, so that clients that ask at once keep as many files open as the scheduler leaves readings unfinished.

Change: package internal/scrape collects into a buffer under a lock and sends afterwards; both metrics listeners use it.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -17,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
@@ -28,6 +27,7 @@
 	"bergamotcroft.example/bergamot/forward"
 	"bergamotcroft.example/bergamot/gateway"
 	"bergamotcroft.example/bergamot/ingress"
+	"bergamotcroft.example/bergamot/internal/scrape"
 	"bergamotcroft.example/bergamot/loads"
 	"bergamotcroft.example/bergamot/membership"
 	"bergamotcroft.example/bergamot/peer"
@@ -444,10 +444,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	metrics.WritePrometheus(w, true)
-	e.gateway.WriteMetrics(w)
-	e.limits.WriteMetrics(w)
+	scrape.Write(w, e.gateway.WriteMetrics, e.limits.WriteMetrics)
 }
 
 var errNotListening = errors.New("the platform settings contain no address for callers")
--- a/server/parts.go
+++ b/server/parts.go
@@ -1,15 +1,16 @@
 package server
 
 import (
+	"io"
 	"net/http"
 	"os"
 	"sync"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/gravitational/trace"
 	"github.com/tailscale/hujson"
 
 	"bergamotcroft.example/bergamot/configuration"
+	"bergamotcroft.example/bergamot/internal/scrape"
 	"bergamotcroft.example/bergamot/kernel"
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/policy/routing"
@@ -142,10 +143,9 @@
 		http.NotFound(w, r)
 		return
 	}
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	s.gateway.WriteMetrics(w)
+	others := []func(io.Writer){s.gateway.WriteMetrics}
 	if s.limits != nil {
-		s.limits.WriteMetrics(w)
+		others = append(others, s.limits.WriteMetrics)
 	}
-	metrics.WritePrometheus(w, true)
+	scrape.Write(w, others...)
 }
