--- a/scheduler/ending.go
+++ b/scheduler/ending.go
@@ -89,10 +89,6 @@
 		s.mayHaveRun[r.ID] = true
 		r.PossibleRuns++
 	}
-	s.releaseDecodePermit(now, r)
-	s.removeLoad(r, currentAttempt(r))
-	s.removeInFlight(r)
-	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: r.Prefill, Decode: r.Decode, Moved: !began})
-	s.dispatch(now, r, c, 0)
+	s.move(now, r, c, !began)
 	return true
 }
--- a/scheduler/overdue.go
+++ b/scheduler/overdue.go
@@ -122,12 +122,17 @@
 	if busy { // a silent engine has no speed, and would lower the one that is assumed of the others
 		s.learnPromptTime(now, r, false)
 	}
+	s.move(now, r, c, true)
+	return true
+}
+
+// move ends the attempt of r and dispatches r to a choice of other upstreams. notRun states that the attempt has not run r.
+func (s *Scheduler) move(now time.Duration, r *policy.Request, c policy.Choice, notRun bool) {
 	s.releaseDecodePermit(now, r)
 	s.removeLoad(r, currentAttempt(r))
 	s.removeInFlight(r)
-	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: silent, Decode: r.Decode, Moved: true})
+	s.actions = append(s.actions, Action{Kind: Preempt, Request: r, Prefill: r.Prefill, Decode: r.Decode, Moved: notRun})
 	s.dispatch(now, r, c, 0)
-	return true
 }
 
 // routeWithoutHolding routes r, whose prompt is being computed, as if it held no permit and no place at its decoder: a move gives these
