scaling: servers that were taken away are no figure for a successor

Change: the record holds no figure of servers that the platform has taken away, unless an order for them is unanswered, and such a figure is dropped before the other kind's is sent.

--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -166,6 +166,9 @@
 	reclaimedUntil time.Time
 }
 
+// inRecord reports whether a successor has to know the last figure. What the platform has taken away is not to be ordered again.
+func (k *kindState) inRecord() bool { return k.known && !k.taken }
+
 // figure is a number of servers that was ordered until a time.
 type figure struct {
 	desired int
--- a/scaling/send.go
+++ b/scaling/send.go
@@ -63,7 +63,7 @@
 	return out
 }
 
-// recorded reports whether the record has the figure of o, and none of the other kind there that was refused. A successor sends all
+// recorded reports whether the record has the figure of o, and none of the other kind there that was refused or is over. A successor sends all
 // figures of the record, which together must not exceed the maximum.
 func (c *Controller) recorded(o Order) bool {
 	s := c.subject(o.Service, o.DataCentre)
@@ -74,7 +74,7 @@
 			if !k.isRecorded || k.uncertain || k.recorded != o.Desired {
 				return false
 			}
-		case len(s.repeat) == 0 && k.isRecorded && (!k.known || k.recorded != k.ordered):
+		case len(s.repeat) == 0 && k.isRecorded && (!k.inRecord() || k.recorded != k.ordered):
 			return false
 		}
 	}
@@ -98,7 +98,7 @@
 	figures := map[Order]int{} // by order with Desired 0
 	for k, s := range c.subjects {
 		for kind := range s.kinds {
-			if s.kinds[kind].known {
+			if len(s.repeat) > 0 && s.kinds[kind].known || s.kinds[kind].inRecord() {
 				figures[Order{k.service, k.dataCentre, policy.ServerKind(kind), 0}] = s.kinds[kind].ordered
 			}
 		}
