scaling, edge: one list of orders for a step, one check of scaled services

Read-through: a step joined additions and reductions twice, once for its report and once to send them; reclaimGroup repeated the check that isScaled has. No behaviour changes.

--- a/edge/scaling.go
+++ b/edge/scaling.go
@@ -136,7 +136,7 @@
 // is fixed.
 func reclaimGroup(s *catalog.State, x *catalog.Entry) string {
 	switch {
-	case s.Table.Services[x.Service].Scaling == nil:
+	case !isScaled(s, x.Service):
 		return ""
 	case x.Preemptible:
 		return x.DataCentre + " " + policy.Preemptible.String()
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -243,23 +243,24 @@
 		a, r := c.plan(now, &list[i])
 		add, remove = append(add, a...), append(remove, r...)
 	}
-	planned = slices.Concat(add, remove)
-	c.send(ctx, now, list, c.due(now, add, remove))
+	planned = slices.Concat(add, remove) // additions first
+	due := planned
+	if c.gathers(now, add, remove) {
+		due = nil
+	}
+	c.send(ctx, now, list, due)
 	c.updateMetrics(list)
 }
 
-// due returns the orders to send now, additions first. Reductions wait for an addition or for gatherTime.
-func (c *Controller) due(now time.Time, add, remove []Order) []Order {
+// gathers reports whether reductions wait for others: until there is an addition, or for gatherTime.
+func (c *Controller) gathers(now time.Time, add, remove []Order) bool {
 	switch {
 	case len(remove) == 0:
 		c.gatheredFrom = time.Time{}
 	case c.gatheredFrom.IsZero():
 		c.gatheredFrom = now
 	}
-	if len(add) == 0 && now.Sub(c.gatheredFrom) < gatherTime {
-		return nil
-	}
-	return append(add, remove...)
+	return len(add) == 0 && now.Sub(c.gatheredFrom) < gatherTime
 }
 
 // reset forgets what an earlier holder, or this one under an earlier lease, has seen.
