--- a/review/lab-2/fleet.go
+++ b/review/lab-2/fleet.go
@@ -49,18 +49,33 @@
 		return err
 	}
 	l.store = &store{standin.NewStore(), listener.Addr().String()}
-	s := &http.Server{Handler: l.store, ReadHeaderTimeout: 5 * time.Second}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { l.store.ServeHTTP(&baseWriter{ResponseWriter: w}, r) }), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = s.Serve(listener) }() // ends with the process
 	return nil
 }
 
+// baseWriter drops the header that only the store of a later deployment sends.
+type baseWriter struct{ http.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *baseWriter) WriteHeader(status int) {
+	w.Header().Del("Store-Era")
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (w *baseWriter) Write(b []byte) (int, error) {
+	w.Header().Del("Store-Era") // has no effect after WriteHeader
+	return w.ResponseWriter.Write(b)
+}
+
 // ip returns a loopback address of this play; 0 is that of the stand-ins.
 func (l *lab) ip(n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 1+n/200, 1+n%200)
 }
 
 // routeTimeout is the time limit of a route by its prefix.
-var routeTimeouts = map[string]time.Duration{"/once/": 4 * time.Second, "/read/": 4 * time.Second, "/stream/": 6 * time.Second}
+var routeTimeouts = map[string]time.Duration{"/once/": 4 * time.Second, "/later/": 4 * time.Second, "/read/": 4 * time.Second, "/stream/": 6 * time.Second}
 
 // configure writes a configuration: bookings and reads at the service app, streams at the model servers of the service text.
 func (l *lab) configure(version uint64) error {
@@ -70,11 +85,15 @@
 			"timeout_ms": routeTimeouts[prefix].Milliseconds(), "target_latency_ms": target, "target_gap_ms": 400, "priority": 1, "sticky": service == "text",
 		}
 	}
+	routes := []any{
+		route("/once/", "non_idempotent", "app", 1, 300), route("/read/", "idempotent", "app", 2, 300), route("/stream/", "streaming", "text", 1, 400),
+	}
+	if l.added {
+		routes = append(routes, route("/later/", "non_idempotent", "app", 1, 300))
+	}
 	return l.store.Put("config", "main", map[string]any{
 		"version": version,
-		"routes": []any{
-			route("/once/", "non_idempotent", "app", 1, 300), route("/read/", "idempotent", "app", 2, 300), route("/stream/", "streaming", "text", 1, 400),
-		},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": "app", "health_path": "/health", "max_connections": 110},
 			map[string]any{"name": "text", "health_path": "/health", "max_connections": 630, "engine": map[string]any{
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -37,6 +37,7 @@
 	mu     sync.Mutex
 	record *os.File
 
+	added   bool // the configuration has the route /later/
 	store   *store
 	servers []*server
 	vms     []*vm
