--- a/review/lab-2/memory.go
+++ b/review/lab-2/memory.go
@@ -16,6 +16,9 @@
 	cases["model-names"] = func(l *lab) (string, error) {
 		return playMemory(l, load{clients: 8, total: 11000, perSecond: 130, limit: 95 * time.Second, next: distinctModel})
 	}
+	cases["many-parts"] = func(l *lab) (string, error) {
+		return playMemory(l, load{clients: 700, total: 12000, perSecond: 400, limit: 25 * time.Second, next: manyParts, firstEvent: 1800 * time.Millisecond})
+	}
 	cases["prompt-parts"] = func(l *lab) (string, error) {
 		return playMemory(l, load{clients: 1200, total: 12000, perSecond: 600, limit: 25 * time.Second, next: longPart, firstEvent: 1800 * time.Millisecond})
 	}
@@ -42,6 +45,20 @@
 	return q
 }
 
+// manyParts returns a stream whose prompt lists 2,700 parts of its own, in a head within the limit.
+func manyParts(l *lab, n int) *request {
+	q := ordinary(n)[2]
+	if l.trouble {
+		var b strings.Builder
+		b.WriteString("Prompt-Prefix: ")
+		for i := 0; b.Len() < 15500; i++ {
+			fmt.Fprintf(&b, "%x:0,", n<<12|i)
+		}
+		q.headers[2] = b.String() + "z:1"
+	}
+	return q
+}
+
 // longPart returns a stream whose prompt names a part of 16 million tokens, in a head of 200 bytes.
 func longPart(l *lab, n int) *request {
 	q := ordinary(n)[2]
