scheduler: models that nobody has leave no state

Cause: Offer made a queue, a mix meter and a window of resends under each name, though the admitter refused the request since no upstream has the model; nothing removed them. Cancel made a queue, too.

The front now states if the configuration lacks the model, and the scheduler refuses such a request before it makes state, unless an upstream has the model. The answer is the same as before: 503, not run, to come back after 1 s. Names of models that the configuration or an upstream has are bounded by the operator. The other maps by model (routing.prefix_affinity, spill, round_robin) are reached later only.

--- /dev/null
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"bergamotcroft.example/bergamot/internal/knownred"
+	"bergamotcroft.example/bergamot/platform/standin"
+)
+
+// crowdFieldBytes is the length of a header's value or a request target whose head is just of legal size.
+const crowdFieldBytes = 15500
+
+// crowdHead is a request whose clients choose its parts.
+type crowdHead struct {
+	method, target, host string
+	headers              map[string]string
+	body                 string
+}
+
+// streamHead returns an ordinary request for a stream.
+func streamHead(id string) *crowdHead {
+	return &crowdHead{method: http.MethodPost, target: "/stream/x", host: "h", headers: map[string]string{
+		"Attempt-Id": id, "Deadline-Ms": "3000", "Model": "m", "Token-Counts": "900,60", "Prompt-Prefix": "aa:512," + id + ":388", "Content-Length": "0",
+	}}
+}
+
+func (h *crowdHead) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", h.method, h.target, h.host)
+	for name, value := range h.headers {
+		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
+	}
+	return b.String() + "\r\n" + h.body
+}
+
+// longName returns a name that no other request of a test has.
+func longName(id string) string { return id + strings.Repeat("x", crowdFieldBytes-len(id)) }
+
+// repeated returns the list of entry(0), entry(1) and so on that fits into a header.
+func repeated(entry func(n int) string) string {
+	var b strings.Builder
+	for n := 0; b.Len() < crowdFieldBytes; n++ {
+		b.WriteString(entry(n) + ",")
+	}
+	return b.String() + "z:1"
+}
+
+// header returns a change of a request that sets a header.
+func header(name string, value func(id string) string) func(h *crowdHead, id string) {
+	return func(h *crowdHead, id string) { h.headers[name] = value(id) }
+}
+
+// fixed returns a value that is the same for all requests.
+func fixed(value string) func(string) string { return func(string) string { return value } }
+
+// crowdRequestWays are changes of an ordinary request for a stream, each with all clients sending such requests one after the other.
+var crowdRequestWays = []struct {
+	name   string
+	change func(h *crowdHead, id string)
+}{
+	{"names of models", header("Model", longName)},
+	{"names of earlier attempts", header("Resumes", longName)},
+	{"names of events", header("Last-Event-Id", longName)},
+	{"keys", header("Authorization", func(id string) string { return "Bearer " + longName(id) })},
+	{"names of accounts", header("Tenant", longName)},
+	{"names of other headers", func(h *crowdHead, id string) { h.headers[longName(id)] = "a" }},
+	{"headers of one connection", header("Connection", func(id string) string { return repeated(func(n int) string { return fmt.Sprintf("%s-%x", id, n) }) })},
+	{"hosts", func(h *crowdHead, id string) { h.host = longName(id) }},
+	{"paths", func(h *crowdHead, id string) { h.target += "/" + longName(id) }},
+	{"paths without a route", func(h *crowdHead, id string) { h.target = "/" + longName(id) }},
+	{"queries", func(h *crowdHead, id string) { h.target += "?" + longName(id) }},
+	{"methods", func(h *crowdHead, id string) { h.method = longName(id) }},
+	{"deadlines without end", header("Deadline-Ms", fixed("1e300"))},
+	{"lengths of bodies that do not come", header("Content-Length", fixed("4194304"))},
+}
+
+// Guards against requests of legal size whose names, numbers and lists make the process use more memory than its machine has, keep what
+// they named after their answers, end it, or leave it unable to serve.
+func TestStatedNamesAndNumbersStayWithinTheProcessLimits(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	program := filepath.Join(t.TempDir(), "bergamotd")
+	// Built without the race detector, which takes several times the memory.
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, way := range crowdRequestWays {
+		t.Run(strings.ReplaceAll(way.name, " ", "_"), func(t *testing.T) {
+			knownred.Skip(t)
+			is := is.New(t)
+			engine, err := standin.NewServer(standin.ServerOptions{
+				ID: "engine-0", Service: "text", Phase: "decode", Streams: true, Slots: crowdClients, Work: 20 * time.Millisecond, Observe: func(standin.Run) {},
+			})
+			is.NoErr(err)
+			t.Cleanup(engine.Crash)
+			cmd := exec.Command(program, "edge")
+			cmd.Stdout = io.Discard // lines of log with long names
+			_, ip := startEdgeWithin(t, cmd, crowdMemoryMB, 2*crowdFDs, func(standin.Run) {}, engine)
+			var done sync.WaitGroup
+			for client := range crowdClients {
+				done.Go(func() {
+					sendRequests(net.JoinHostPort(ip, "9000"), func(n int) string {
+						id := fmt.Sprintf("c%d-%d", client, n)
+						h := streamHead(id)
+						way.change(h, id)
+						return h.text()
+					})
+				})
+			}
+			most := sampleHeld(t, cmd.Process.Pid, ip, &done)
+			o := ordinaryRequest(t, ip)
+			is.Equal(o.Status, http.StatusOK) // one ordinary request afterwards
+			t.Logf("most memory with unread bytes %d KB", most.memoryKB)
+			is.True(most.memoryKB <= crowdMemoryMB<<10)
+		})
+	}
+}
+
+// sendRequests sends requests and reads their answers, on a new connection where the VM has closed the last one, for crowdClientTime.
+func sendRequests(address string, request func(n int) string) {
+	end := time.Now().Add(crowdClientTime)
+	n := 0
+	for time.Now().Before(end) {
+		c, err := net.DialTimeout("tcp4", address, time.Until(end))
+		if err != nil {
+			return
+		}
+		_ = c.SetDeadline(end) // after an error the write below fails as well
+		r := bufio.NewReader(c)
+		for {
+			n++
+			if _, err := io.WriteString(c, request(n)); err != nil {
+				break
+			}
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				break
+			}
+			if _, err = io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+				break
+			}
+		}
+		_ = c.Close()
+	}
+}
--- a/cmd/bergamotd/crowd_test.go
+++ b/cmd/bergamotd/crowd_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -165,7 +166,7 @@
 						_, _ = io.Copy(io.Discard, c) // ends with the connection or the deadline
 					})
 				}
-				held := sampleDescriptors(t, pid, &done)
+				held := sampleHeld(t, pid, ip, &done)
 				for _, c := range conns {
 					if c != nil {
 						_ = c.Close()
@@ -176,10 +177,10 @@
 				status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 				is.NoErr(err) // the process lives
 				peak := peakKB(status)
-				t.Logf("peak memory %d KB, descriptors %d, then %d", peak, calm, held)
+				t.Logf("peak memory %d KB, with unread bytes %d KB, descriptors %d, then %d", peak, held.memoryKB, calm, held.descriptors)
 				is.True(peak > 0)
-				is.True(peak <= crowdMemoryMB<<10) // resident memory
-				is.True(held <= crowdFDBound)      // descriptors while the clients are connected
+				is.True(peak <= crowdMemoryMB<<10)        // resident memory
+				is.True(held.descriptors <= crowdFDBound) // while the clients are connected
 				for openDescriptors(t, pid) > calm+crowdFDs/8 {
 					time.Sleep(10 * time.Millisecond) // they fall back, or the test does not end
 				}
@@ -188,17 +189,23 @@
 	}
 }
 
-// sampleDescriptors returns the most descriptors that the process was seen to have open until done.
-func sampleDescriptors(t *testing.T, pid int, done *sync.WaitGroup) int {
+// held is the most that a process was seen to hold.
+type held struct {
+	descriptors int
+	memoryKB    int // resident memory, and the bytes that the kernel has received for the process and that it has not read
+}
+
+// sampleHeld returns the most that the process with the IP address was seen to hold until done.
+func sampleHeld(t *testing.T, pid int, ip string, done *sync.WaitGroup) (most held) {
 	t.Helper()
 	ended := make(chan struct{})
 	go func() {
 		done.Wait()
 		close(ended)
 	}()
-	most := 0
 	for {
-		most = max(most, openDescriptors(t, pid))
+		most.descriptors = max(most.descriptors, openDescriptors(t, pid))
+		most.memoryKB = max(most.memoryKB, residentKB(t, pid)+unreadKB(t, ip))
 		select {
 		case <-ended:
 			return most
@@ -207,6 +214,46 @@
 	}
 }
 
+// residentKB returns the resident memory of a process.
+func residentKB(t *testing.T, pid int) int {
+	t.Helper()
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		t.Fatal(err) // the process has ended
+	}
+	pages, err := strconv.Atoi(strings.Fields(string(statm))[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pages * os.Getpagesize() >> 10
+}
+
+// unreadKB returns the sum of the receive queues of all connections of an IP address.
+func unreadKB(t *testing.T, ip string) int {
+	t.Helper()
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := net.ParseIP(ip).To4()
+	local := fmt.Sprintf("%08X:", binary.LittleEndian.Uint32(b))
+	const listening = "0A"
+	sum := 0
+	for line := range strings.Lines(string(table)) {
+		f := strings.Fields(line) // number, local address, remote address, state, queues
+		if len(f) < 5 || !strings.HasPrefix(f[1], local) || f[3] == listening {
+			continue
+		}
+		_, queue, _ := strings.Cut(f[4], ":")
+		n, err := strconv.ParseInt(queue, 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum += int(n)
+	}
+	return sum >> 10
+}
+
 // ordinaryRequest sends a request until it is not refused. A VM may close connections or answer 503 until it has noticed that the
 // clients are gone.
 func ordinaryRequest(t *testing.T, ip string) (o standin.Outcome) {
--- a/cmd/bergamotd/stop_test.go
+++ b/cmd/bergamotd/stop_test.go
@@ -45,8 +45,8 @@
 }
 
 // startEdgeWithin starts cmd as an entry VM with limits and returns it and its IP address once it serves. It listens for callers at
-// port 9000, for the readiness check at 9001, for peers at 9002 and for the directory at 9003.
-func startEdgeWithin(t *testing.T, cmd *exec.Cmd, memoryMB, maxFDs int, observe func(standin.Run)) (*exec.Cmd, string) {
+// port 9000, for the readiness check at 9001, for peers at 9002 and for the directory at 9003. engines serve its streams.
+func startEdgeWithin(t *testing.T, cmd *exec.Cmd, memoryMB, maxFDs int, observe func(standin.Run), engines ...*standin.Server) (*exec.Cmd, string) {
 	t.Helper()
 	is := is.New(t)
 	store := standin.NewStore()
@@ -57,6 +57,9 @@
 	t.Cleanup(app.Crash)
 	is.NoErr(store.Put("config", "main", standin.Config(1, "h", "app", testRouteTimeout)))
 	is.NoErr(store.Put("servers", "i-1", app.Entry(app.Address(), "z", "ready", time.Now().UnixMilli())))
+	for n, engine := range engines {
+		is.NoErr(store.Put("servers", fmt.Sprint("engine-", n), engine.Entry(engine.Address(), "z", "ready", time.Now().UnixMilli())))
+	}
 
 	ip := fmt.Sprintf("127.%d.%d.3", 100+rand.IntN(100), rand.IntN(250)) // no other process uses it
 	at := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
@@ -73,7 +76,9 @@
 	file := filepath.Join(t.TempDir(), "settings.json")
 	is.NoErr(os.WriteFile(file, settings, 0o600))
 	cmd.Env = append(os.Environ(), edgeVariable+"=1", platform.SettingsVariable+"="+file)
-	cmd.Stdout = t.Output()
+	if cmd.Stdout == nil {
+		cmd.Stdout = t.Output()
+	}
 	is.NoErr(cmd.Start())
 	t.Cleanup(func() {
 		_ = cmd.Process.Kill() // fails if it has ended
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -380,7 +380,7 @@
 	}
 	attempt := x.attemptBuffered
 	if s := x.table.Services[x.service]; s != nil && s.Engine != nil {
-		q.Model = EngineModel(x.service, call.Model)
+		q.Model, q.UnknownModel = EngineModel(x.service, call.Model), !slices.Contains(s.Engine.Models, call.Model)
 		q.PromptTokens, q.MaxOutput, q.HintOutput = call.Prompt, call.MaxOutput, call.HintOutput
 		if n := len(call.Parts) - 1; n > 0 {
 			q.Prefix, q.PromptPieces = policy.PrefixPieces(call.Parts[:n]), policy.PrefixPieces(call.Parts)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,8 +52,11 @@
 	Priority int     // 0 is the highest
 	Weight   float64 // fair share of the caller; 0 counts as 1
 
-	Model   string // "model@version" for engines
-	Service string // for plain services
+	Model string // "model@version" for engines
+	// UnknownModel is set if the configuration does not have Model. The request is refused, before any state is kept under that name,
+	// unless an upstream has the model.
+	UnknownModel bool
+	Service      string // for plain services
 	// Version is the software version of the upstreams that may take the request; empty: any, until the answer has begun.
 	Version string
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -100,12 +100,19 @@
 	s.endQuiet(now)
 	s.expirePermits(now)
 	s.prepare(now, r)
+	if r.UnknownModel && len(s.fleet.ByModel[r.Model]) == 0 {
+		s.actions = append(s.actions, Action{Kind: Refuse, Request: r, Code: result.NoUpstream, RetryAfter: unknownModelRetryAfter})
+		return s.actions
+	}
 	s.opts.Retry.Arrived(now, r)
 	s.place(now, r, 0)
 	s.mixMeterFor(r.Model).addOffered(now, r)
 	return s.actions
 }
 
+// unknownModelRetryAfter is what the admitter states for a model without upstreams. The name may be that of a new configuration.
+const unknownModelRetryAfter = time.Second
+
 // prepare sets the fields of a new request that the scheduler keeps.
 func (s *Scheduler) prepare(now time.Duration, r *policy.Request) {
 	r.Prefill, r.Decode, r.Avoid, r.InFlightIndex = policy.None, policy.None, policy.None, policy.None
@@ -434,7 +441,8 @@
 
 // Cancel removes r from the queue and reports whether it was queued.
 func (s *Scheduler) Cancel(now time.Duration, r *policy.Request) bool {
-	if !s.queueFor(r).remove(r) {
+	q, ok := s.queues[queueKey(r)]
+	if !ok || !q.remove(r) {
 		return false
 	}
 	s.queued--
