quarantine, platform: a request's parts take memory of a few bytes each

Cause: PartLedger.Watch made a map for each part of each request, and every part was kept apart in the call, in the runs and crashes of the ledger, which hold them up to 10 min, in queued placements and in log lines.

A watch is now one entry in one set; the search for the watches of a part runs only when a part becomes refused. A queued placement no longer keeps the list that it was cut from.

--- a/cmd/bergamotd/crowd_requests_test.go
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -82,6 +82,11 @@
 	{"paths without a route", func(h *crowdHead, id string) { h.target = "/" + longName(id) }},
 	{"queries", func(h *crowdHead, id string) { h.target += "?" + longName(id) }},
 	{"methods", func(h *crowdHead, id string) { h.method = longName(id) }},
+	{"many parts", header("Prompt-Prefix", func(id string) string { return repeated(func(n int) string { return fmt.Sprintf("%s-%x:0", id, n) }) })},
+	{"many parts with tokens", header("Prompt-Prefix", func(id string) string {
+		return repeated(func(n int) string { return fmt.Sprintf("%s%x:9", id[len(id)-2:], n) })
+	})},
+	{"one part many times", header("Prompt-Prefix", fixed(repeated(func(int) string { return "a:0" })))},
 	{"deadlines without end", header("Deadline-Ms", fixed("1e300"))},
 	{"lengths of bodies that do not come", header("Content-Length", fixed("4194304"))},
 }
--- a/loads/loads.go
+++ b/loads/loads.go
@@ -207,7 +207,7 @@
 // QueuePlacement queues placements of the parts at the upstreams, so that peers send prompts with these parts there.
 func (x *Exchange) QueuePlacement(parts []policy.Part, upstreams ...string) {
 	if len(parts) > maxParts {
-		parts = parts[:maxParts]
+		parts = slices.Clone(parts[:maxParts]) // the rest is not kept
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -37,7 +37,7 @@
 	crashes   map[uint32]*crashRecord
 	parts     map[PartID]*partRecord
 	completed map[PartID]time.Time // last good end of an answer
-	watches   map[PartID]map[*partWatch]struct{}
+	watches   map[*partWatch]struct{}
 	lastSweep time.Time
 }
 
@@ -166,7 +166,7 @@
 	}
 	return &PartLedger{
 		opts: o, crashes: map[uint32]*crashRecord{}, parts: map[PartID]*partRecord{}, completed: map[PartID]time.Time{},
-		watches: map[PartID]map[*partWatch]struct{}{},
+		watches: map[*partWatch]struct{}{},
 	}
 }
 
@@ -359,20 +359,11 @@
 	w := &partWatch{parts: parts, onRefused: onRefused}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, part := range parts {
-		if p.watches[part] == nil {
-			p.watches[part] = map[*partWatch]struct{}{}
-		}
-		p.watches[part][w] = struct{}{}
-	}
+	p.watches[w] = struct{}{}
 	return func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		for _, part := range parts {
-			if delete(p.watches[part], w); len(p.watches[part]) == 0 {
-				delete(p.watches, part)
-			}
-		}
+		delete(p.watches, w)
 	}
 }
 
@@ -450,8 +441,11 @@
 }
 
 func (p *PartLedger) endWatches(u *partUpdate, part PartID) {
-	for w := range p.watches[part] {
-		if _, err := p.checkLocked(w.parts); err != nil && !w.notified {
+	for w := range p.watches {
+		if w.notified || !slices.Contains(w.parts, part) {
+			continue
+		}
+		if _, err := p.checkLocked(w.parts); err != nil {
 			w.notified = true
 			u.after = append(u.after, func() { w.onRefused(err) })
 		}
--- /dev/null
+++ b/quarantine/watch_test.go
@@ -0,0 +1,42 @@
+package quarantine
+
+import (
+	"runtime"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"bergamotcroft.example/bergamot/result"
+)
+
+// Guards against watches whose memory is many times that of the parts that a request lists.
+func TestWatchesTakeLittleMemory(t *testing.T) {
+	is := is.New(t)
+	p := NewPartLedger(PartLedgerOptions{})
+	const requests, listed, bound = 100, 1000, 1 << 20
+	parts := make([][]PartID, requests)
+	for n := range parts {
+		for i := range listed {
+			parts[n] = append(parts[n], PartID(n*listed+i+1))
+		}
+	}
+	before := heapBytes()
+	stops := make([]func(), requests)
+	for n := range parts {
+		stops[n] = p.Watch(parts[n], func(*result.Error) {})
+	}
+	is.True(heapBytes() < before+bound)
+	for _, stop := range stops {
+		stop()
+	}
+	is.Equal(len(p.watches), 0)
+	runtime.KeepAlive(parts)
+}
+
+// heapBytes returns the bytes of live objects.
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
