forward, loads: token counts are bounded by what an engine can hold

Cause: each VM computed a piece for each 1,000 stated tokens, twice where the request arrived, and once at every VM that was told of the placement, where they went through the index of an engine that holds a few hundred. The bound of the codec, 16 million, kept sums from an overflow only.

The front now bounds the prompt, the output, the hint and the parts by the memory of the service's engines (1,048,576 tokens where the configuration states none), once, before anything is computed from them; identifiers of parts are kept, so that the ledger of crashing parts sees the same ones. A VM that is told of a placement bounds it by the memory of that engine, whatever the sender stated. Pieces are computed once, with their exact number, and those of a long prompt are reserved in the memory for bodies.

TestPlacementsBeyondAnEnginesMemoryAreCut failed before.

--- a/cmd/bergamotd/crowd_requests_test.go
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -82,11 +82,17 @@
 	{"paths without a route", func(h *crowdHead, id string) { h.target = "/" + longName(id) }},
 	{"queries", func(h *crowdHead, id string) { h.target += "?" + longName(id) }},
 	{"methods", func(h *crowdHead, id string) { h.method = longName(id) }},
+	{"parts of 16 million tokens", header("Prompt-Prefix", func(id string) string { return "a" + id + ":16777000," + id + ":1" })},
+	{"parts of a million tokens each", header("Prompt-Prefix", func(id string) string {
+		return repeated(func(n int) string { return fmt.Sprintf("%s-%x:16000", id, n) })
+	})},
 	{"many parts", header("Prompt-Prefix", func(id string) string { return repeated(func(n int) string { return fmt.Sprintf("%s-%x:0", id, n) }) })},
 	{"many parts with tokens", header("Prompt-Prefix", func(id string) string {
 		return repeated(func(n int) string { return fmt.Sprintf("%s%x:9", id[len(id)-2:], n) })
 	})},
 	{"one part many times", header("Prompt-Prefix", fixed(repeated(func(int) string { return "a:0" })))},
+	{"token counts of 16 million", header("Token-Counts", fixed("16777000,16777000"))},
+	{"length hints of 16 million", header("Length-Hint", fixed("16777000"))},
 	{"deadlines without end", header("Deadline-Ms", fixed("1e300"))},
 	{"lengths of bodies that do not come", header("Content-Length", fixed("4194304"))},
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -41,7 +41,7 @@
 	// be refused for good.
 	ConfigurationConfirmed func() bool
 	Log                    *zap.Logger
-	// BodyMemory bounds the total bytes of request bodies held in memory; 0: a default.
+	// BodyMemory bounds the total bytes of request bodies and long prompts' parts held in memory; 0: a default.
 	BodyMemory int64
 	// Crashes counts the crashes of requests across all entry VMs; nil: this entry VM only.
 	Crashes *quarantine.Ledger
@@ -66,7 +66,7 @@
 type Front struct {
 	opts    Options
 	metrics *metricSet
-	bodies  atomic.Int64 // bytes reserved for request bodies
+	bodies  atomic.Int64 // bytes reserved of Options.BodyMemory
 
 	stopPlan           atomic.Pointer[StopPlan] // nil unless the entry VM stops
 	waitingEnds        context.Context          // ends when requests that were sent to no upstream are refused
@@ -213,6 +213,9 @@
 	if err != nil {
 		return err
 	}
+	if err = x.reservePrompt(); err != nil {
+		return err
+	}
 	parts := f.opts.Crashes.Parts()
 	x.knownCrashes = parts.Known(x.parts)
 	ctx, cancel := x.withDeadline()
@@ -276,6 +279,7 @@
 		return err
 	}
 	x.service = x.route.Pick(x.firstAttempt())
+	x.boundCall()
 	x.fingerprint = x.hashRequest()
 	if err = f.opts.Crashes.Check(x.fingerprint); err != nil {
 		return err
@@ -284,6 +288,18 @@
 	return f.opts.Crashes.Parts().Check(x.parts)
 }
 
+// boundCall bounds the token counts that the caller states by what an engine of the service can hold, since memory and work follow from
+// them here and, for shared parts, at other entry VMs.
+func (x *exchange) boundCall() {
+	s := x.table.Services[x.service]
+	if s == nil || s.Engine == nil {
+		return
+	}
+	c, limit := &x.call, s.Engine.MaxPrompt()
+	c.Prompt, c.MaxOutput, c.HintOutput = min(c.Prompt, limit), min(c.MaxOutput, limit), min(c.HintOutput, limit)
+	c.Parts = policy.Within(c.Parts, limit)
+}
+
 // path returns the path of the request as it was sent.
 func (x *exchange) path() string {
 	path, _, _ := strings.Cut(x.uri, "?")
@@ -319,7 +335,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errBodyMemory):
-		return result.New(result.Overloaded, "too many request bodies are held").WithRetryAfter(bodyMemoryRetryAfter)
+		return errNoMemory()
 	case errors.As(err, &tooLarge):
 		return errBodyTooLarge(limit)
 	case err != nil:
@@ -331,6 +347,26 @@
 
 var errBodyMemory = errors.New("the memory for request bodies is used up")
 
+func errNoMemory() *result.Error {
+	return result.New(result.Overloaded, "the memory for requests is used up").WithRetryAfter(bodyMemoryRetryAfter)
+}
+
+const (
+	pieceBytes = 8
+	partBytes  = 32 // as a policy.Part, a quarantine.PartID and an identifier in a log line
+	// ordinaryPromptBytes are not counted: the parts and pieces of a prompt of 100,000 tokens.
+	ordinaryPromptBytes = 1 << 10
+)
+
+// reservePrompt reserves the memory for the pieces and the parts of a long prompt.
+func (x *exchange) reservePrompt() *result.Error {
+	n := int64(policy.Tokens(x.call.Parts)/policy.PieceTokens*pieceBytes + len(x.call.Parts)*partBytes)
+	if n > ordinaryPromptBytes && x.reserve(n) != nil {
+		return errNoMemory()
+	}
+	return nil
+}
+
 // bodyMemoryRetryAfter is short: other entry VMs have memory for the body.
 const bodyMemoryRetryAfter = 100 * time.Millisecond
 
@@ -383,7 +419,8 @@
 		q.Model, q.UnknownModel = EngineModel(x.service, call.Model), !slices.Contains(s.Engine.Models, call.Model)
 		q.PromptTokens, q.MaxOutput, q.HintOutput = call.Prompt, call.MaxOutput, call.HintOutput
 		if n := len(call.Parts) - 1; n > 0 {
-			q.Prefix, q.PromptPieces = policy.PrefixPieces(call.Parts[:n]), policy.PrefixPieces(call.Parts)
+			q.PromptPieces = policy.PrefixPieces(call.Parts)
+			q.Prefix = q.PromptPieces[:policy.Tokens(call.Parts[:n])/policy.PieceTokens]
 		}
 	} else {
 		q.Service = x.service
--- a/loads/loads_test.go
+++ b/loads/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -196,6 +197,27 @@
 	is.Equal(s.Fleet().Upstreams[1].Cache.Match(policy.PrefixPieces(parts)), 5)
 }
 
+// Guards against work and memory at all VMs that follow from the token counts that one client states: a part of 16 million tokens stopped
+// their schedulers.
+func TestPlacementsBeyondAnEnginesMemoryAreCut(t *testing.T) {
+	is := is.New(t)
+	x, _, s := newExchange(t, 3, sameDC)
+	now := time.Unix(100, 0)
+	x.round(t.Context(), now)
+	const allocBound = 1 << 20 // bytes; the upstreams have 100 pieces
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for n := range 32 {
+		parts := []policy.Part{{ID: uint64(n), Tokens: 1 << 24}, {ID: 1, Tokens: 1000}}
+		x.handleMessage(now, "10.0.0.2:9", message{boot: 1, seq: uint64(n + 1), placements: []placement{{hash("a"), parts}}})
+		x.Refresh(0, s)
+		held := policy.PrefixPieces([]policy.Part{{ID: uint64(n), Tokens: 200_000}})
+		is.Equal(s.Fleet().Upstreams[0].Cache.Match(held), 100)
+	}
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < allocBound)
+}
+
 // Guards against traffic between data centres that grows with the square of the fleet.
 func TestLargeFleetsTellTheirDataCentre(t *testing.T) {
 	is := is.New(t)
--- a/loads/upstream_index.go
+++ b/loads/upstream_index.go
@@ -36,7 +36,8 @@
 	}
 	for _, p := range placements {
 		if i, ok := ix.find(s, p.upstream); ok {
-			s.CacheEvent(now, i, scheduler.CacheEvent{Inserted: policy.PrefixPieces(p.parts)})
+			held := policy.Within(p.parts, upstreams[i].Spec.KVPieces*policy.PieceTokens)
+			s.CacheEvent(now, i, scheduler.CacheEvent{Inserted: policy.PrefixPieces(held)})
 		}
 	}
 }
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -106,6 +106,17 @@
 	StrictPace bool
 }
 
+// unstatedKVTokens is the memory for prompts that engines are taken to have if the configuration states none.
+const unstatedKVTokens = 1 << 20
+
+// MaxPrompt returns the number of tokens of the longest prompt or output that one of the engines can hold.
+func (e *Engine) MaxPrompt() int {
+	if e.KVTokens > 0 {
+		return e.KVTokens
+	}
+	return unstatedKVTokens
+}
+
 // StrictTokenTime is the time for a token below which a stream's events are late as soon as its engine computes prompts beside
 // it: a chunk of a prompt then adds about as much to each step, 10 to 17 ms.
 const StrictTokenTime = 20 * time.Millisecond
