logs, forward: log lines hold few bytes of what clients state

An entry VM whose log is not read kept 4,096 lines of any length: a client that names each attempt with 15,000 bytes made it hold up to 61 MB there, and its names were copied into each of five lines of a request (51.6 MB at a VM of 48 MB with 80 clients and a log that is read).

The queue of lines is now bounded by 4 MB, too, and a line has at most 256 bytes of an attempt's name, the earlier attempt, the last event, the host or the URI. Lines that do not fit are dropped and counted, as before for a full queue.

TestAStuckOutputHoldsFewBytes fails with a bound of 400 MB.

--- a/cmd/bergamotd/crowd_requests_test.go
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -71,6 +71,7 @@
 	change func(h *crowdHead, id string)
 }{
 	{"names of models", header("Model", longName)},
+	{"names of attempts", header("Attempt-Id", longName)},
 	{"names of earlier attempts", header("Resumes", longName)},
 	{"names of events", header("Last-Event-Id", longName)},
 	{"keys", header("Authorization", func(id string) string { return "Bearer " + longName(id) })},
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -88,7 +88,7 @@
 		x.f.opts.OnLeaving(to.Name)
 	}
 	x.f.metrics.rejections.Inc()
-	x.f.opts.Log.Info("send rejected", zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.Int("status", resp.Status),
+	x.f.opts.Log.Info("send rejected", x.requestField(), zap.String("upstream", to.Name), zap.Int("status", resp.Status),
 		zap.Bool("misfit", a.WrongUpstream), zap.Duration("quiet", a.RetryAfter), zap.Bool("leaving", a.Leaving), zap.Error(readErr))
 	return nil, a, &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.UpstreamRefused, Cause: errRejected}
 }
@@ -122,12 +122,12 @@
 	}
 	if over, ok := bounded.LimitExceeded(e); ok {
 		out.Code = result.AnswerTooLarge
-		x.f.opts.Log.Warn("answer over its bound", zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.String("address", to.Address),
+		x.f.opts.Log.Warn("answer over its bound", x.requestField(), zap.String("upstream", to.Name), zap.String("address", to.Address),
 			zap.String("what", over), zap.Error(e))
 	}
 	crash := r.recordFailure(ctx, e)
 	x.f.metrics.failures.Inc()
-	fields := []zap.Field{zap.String("request", x.call.ID), zap.String("upstream", to.Name), zap.Int("stage", int(e.Stage)),
+	fields := []zap.Field{x.requestField(), zap.String("upstream", to.Name), zap.Int("stage", int(e.Stage)),
 		zap.Bool("reset", e.Reset), zap.Int("events", x.events), zap.String("crash", crash), zap.Error(e)}
 	if e.Stage != conns.NotSent {
 		fields = append(fields, x.identityFields()...)
@@ -178,7 +178,7 @@
 // keepFallback keeps an upstream's failure as the answer in case no other attempt succeeds.
 func (x *exchange) keepFallback(p *gateway.Placement, got *bufferedAnswer) {
 	if x.fallback.CompareAndSwap(nil, got) {
-		x.f.opts.Log.Info("upstream failed the request", zap.String("request", x.call.ID), zap.String("upstream", p.Decode.Name), zap.Int("status", got.status))
+		x.f.opts.Log.Info("upstream failed the request", x.requestField(), zap.String("upstream", p.Decode.Name), zap.Int("status", got.status))
 	}
 }
 
@@ -225,7 +225,7 @@
 
 // unprovenFailure logs an answer that does not prove its origin and returns the failure for it.
 func (x *exchange) unprovenFailure(p *gateway.Placement, resp *runResponse) *upstream.Failure {
-	x.f.opts.Log.Warn("answer without proof", zap.String("request", x.call.ID), zap.String("upstream", p.Decode.Name), zap.Int("status", resp.Status))
+	x.f.opts.Log.Warn("answer without proof", x.requestField(), zap.String("upstream", p.Decode.Name), zap.Int("status", resp.Status))
 	return &upstream.Failure{Outcome: policy.FailedUnknown, Code: result.AnswerMismatch, Cause: errUnproven}
 }
 
@@ -249,7 +249,7 @@
 			go x.freePrompt(p.Prefill, handle)
 			return &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.NoUpstream, Cause: errNoDecoder}
 		}
-		x.f.opts.Log.Info("hand over", zap.String("request", x.call.ID), zap.String("prompt_at", p.Prefill.Name),
+		x.f.opts.Log.Info("hand over", x.requestField(), zap.String("prompt_at", p.Prefill.Name),
 			zap.String("upstream", p.Decode.Name), zap.Duration("waited", time.Since(x.arrival)))
 	}
 	resp, a, err := x.generate(ctx, p, handle, &seq.position)
--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -106,7 +106,7 @@
 
 func (x *exchange) logOutOfOrder(p *gateway.Placement, resp *runResponse, seq *sequence, id []byte, reason string) {
 	x.f.metrics.outOfOrder.Inc()
-	x.f.opts.Log.Warn("answer out of order", zap.String("request", x.call.ID), zap.String("upstream", p.Decode.Name), zap.String("reason", reason),
+	x.f.opts.Log.Warn("answer out of order", x.requestField(), zap.String("upstream", p.Decode.Name), zap.String("reason", reason),
 		zap.String("last_id", string(seq.id[:min(len(seq.id), maxLoggedID)])), zap.String("id", string(id[:min(len(id), maxLoggedID)])),
 		zap.String("media_type", mediaType(resp.Header)), zap.Int("status", resp.Status))
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -481,6 +481,6 @@
 	x.begun.Store(true)
 	x.w.WriteHeader(a.status)
 	if _, err := x.w.Write(a.body); err != nil {
-		x.f.opts.Log.Info("answer not delivered", zap.String("request", x.call.ID), zap.Error(err))
+		x.f.opts.Log.Info("answer not delivered", x.requestField(), zap.Error(err))
 	}
 }
--- a/forward/prompt.go
+++ b/forward/prompt.go
@@ -37,14 +37,14 @@
 		return "", x.promptFailure(resp.run.failure(ctx, err))
 	}
 	if resp.Status != http.StatusOK {
-		x.f.opts.Log.Info("prompt not computed", zap.String("request", x.call.ID), zap.String("upstream", p.Prefill.Name), zap.Int("status", resp.Status))
+		x.f.opts.Log.Info("prompt not computed", x.requestField(), zap.String("upstream", p.Prefill.Name), zap.Int("status", resp.Status))
 		return "", &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.UpstreamFailed, Cause: errServerError}
 	}
 	handle, err := x.f.opts.Codec.ParseHandle(body)
 	if err != nil {
 		return "", &upstream.Failure{Outcome: policy.RefusedNotRun, Code: result.AnswerMismatch, Cause: err}
 	}
-	x.f.opts.Log.Debug("prompt computed", zap.String("request", x.call.ID), zap.String("upstream", p.Prefill.Name),
+	x.f.opts.Log.Debug("prompt computed", x.requestField(), zap.String("upstream", p.Prefill.Name),
 		zap.Int("tokens", x.call.Prompt), zap.Int("cached", p.Cached*policy.PieceTokens), zap.Duration("took", time.Since(start)))
 	return handle, nil
 }
@@ -73,12 +73,12 @@
 	method, uri := x.f.opts.Codec.FreePromptCall(handle)
 	resp, err := x.f.opts.Pool.Do(ctx, at.Address, &conns.Request{Method: method, URI: uri, Host: at.Address, Header: http.Header{}})
 	if err != nil {
-		x.f.opts.Log.Info("computed prompt not freed", zap.String("request", x.call.ID), zap.String("upstream", at.Name), zap.Error(err))
+		x.f.opts.Log.Info("computed prompt not freed", x.requestField(), zap.String("upstream", at.Name), zap.Error(err))
 		return
 	}
 	x.f.opts.Gateway.UpstreamAnswered(at.Name)
 	x.f.ApplyAvailability(at.Name, x.f.opts.Codec.ParseAnswer(resp.Status, resp.Header))
 	err = resp.Discard(maxDiscardBytes, discardTimeout)
 	resp.Close()
-	x.f.opts.Log.Debug("computed prompt freed", zap.String("request", x.call.ID), zap.String("upstream", at.Name), zap.Int("status", resp.Status), zap.Error(err))
+	x.f.opts.Log.Debug("computed prompt freed", x.requestField(), zap.String("upstream", at.Name), zap.Int("status", resp.Status), zap.Error(err))
 }
--- a/forward/record.go
+++ b/forward/record.go
@@ -55,9 +55,9 @@
 // logSend calls OnSend and logs where a request is sent and why.
 func (x *exchange) logSend(p *gateway.Placement) {
 	x.f.opts.OnSend()
-	x.f.opts.Log.Info("send", zap.String("request", x.call.ID), zap.Int("attempt", p.Number), zap.Bool("hedge", p.Hedge),
+	x.f.opts.Log.Info("send", x.requestField(), zap.Int("attempt", p.Number), zap.Bool("hedge", p.Hedge),
 		zap.String("service", x.service), zap.String("prompt_at", p.Prefill.Name), zap.String("upstream", p.Decode.Name),
-		zap.String("version", p.Decode.Version), zap.String("resumes", x.call.Resumes), zap.String("after", x.call.After), zap.String("fetch_from", p.Source.Name), zap.Int("tokens", x.call.Prompt), zap.Int("max_output", x.call.MaxOutput),
+		zap.String("version", p.Decode.Version), zap.String("resumes", clipped(x.call.Resumes)), zap.String("after", clipped(x.call.After)), zap.String("fetch_from", p.Source.Name), zap.Int("tokens", x.call.Prompt), zap.Int("max_output", x.call.MaxOutput),
 		zap.Int("hint", x.call.HintOutput), zap.Int("cached_pieces", p.Cached), zap.Float64("backlog", p.Backlog),
 		zap.Duration("expected", p.ExpectedFirst), zap.String("parts", x.partIDs()),
 		zap.Duration("waited", time.Since(x.arrival)), zap.Duration("left", time.Until(x.deadline)))
@@ -69,7 +69,7 @@
 		return
 	}
 	x.f.metrics.movedPrompts.Inc()
-	x.f.opts.Log.Info("prompt overdue", zap.String("request", x.call.ID), zap.Int("attempt", p.Number), zap.String("upstream", p.Prefill.Name),
+	x.f.opts.Log.Info("prompt overdue", x.requestField(), zap.Int("attempt", p.Number), zap.String("upstream", p.Prefill.Name),
 		zap.Duration("expected", p.ExpectedFirst), zap.Duration("waited", waited))
 }
 
@@ -89,13 +89,18 @@
 func (x *exchange) identityFields() []zap.Field {
 	return []zap.Field{
 		zap.Uint64("fingerprint", uint64(x.fingerprint)), zap.Uint64("caller", xxhash.Sum64String(x.call.Caller)), zap.String("method", x.r.Method),
-		zap.String("host", x.r.Host), zap.String("uri", x.uri[:min(len(x.uri), maxLoggedURI)]), zap.Int("body_bytes", len(x.body)),
+		zap.String("host", clipped(x.r.Host)), zap.String("uri", clipped(x.uri)), zap.Int("body_bytes", len(x.body)),
 		zap.Uint64("body", xxhash.Sum64(x.body)),
 	}
 }
 
-// maxLoggedURI bounds the bytes of a request's URI in the log.
-const maxLoggedURI = 256
+// maxLoggedBytes bounds each text of a caller's choice in a log line.
+const maxLoggedBytes = 256
+
+func clipped(s string) string { return s[:min(len(s), maxLoggedBytes)] }
+
+// requestField returns the log field that identifies the request.
+func (x *exchange) requestField() zap.Field { return zap.String("request", clipped(x.call.ID)) }
 
 // recordEnd counts and logs a request that has ended.
 func (x *exchange) recordEnd(e *result.Error) {
@@ -104,7 +109,7 @@
 		code = e.Code
 	}
 	fields := make([]zap.Field, 0, 16)
-	fields = append(fields, zap.String("request", x.call.ID), zap.Int("code", int(code)), zap.String("result", code.Info().Name))
+	fields = append(fields, x.requestField(), zap.Int("code", int(code)), zap.String("result", code.Info().Name))
 	if x.route != nil {
 		class = x.route.Name
 		fields = append(fields, zap.String("route", class), zap.Uint64("configuration", x.table.Version), zap.String("service", x.service),
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -64,7 +64,7 @@
 		return err
 	}
 	version, err := x.f.opts.Versions.Continue(ctx, x.service, x.boundStream(), x.call.Remaining)
-	x.f.opts.Log.Info("stream taken up", zap.String("request", x.call.ID), zap.String("resumes", x.call.Resumes), zap.String("after", x.call.After),
+	x.f.opts.Log.Info("stream taken up", x.requestField(), zap.String("resumes", clipped(x.call.Resumes)), zap.String("after", clipped(x.call.After)),
 		zap.String("version", version), zap.Bool("certain", err == nil))
 	if err != nil {
 		return err
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -20,6 +20,7 @@
 const (
 	// DefaultQueue holds about a second of lines at the highest rate of one entry VM.
 	DefaultQueue    = 4096
+	maxQueuedBytes  = 4 << 20               // of all lines in the queue; typical lines have 300 bytes
 	batchBytes      = 32 << 10              // of one write
 	batchDelay      = 50 * time.Millisecond // wait before a write, so that further lines share it
 	maxDropCounters = 64                    // messages with a counter of their own
@@ -28,6 +29,7 @@
 // Writer is the bounded queue of lines and the goroutine that writes them.
 type Writer struct {
 	lines        chan *buffer.Buffer
+	queuedBytes  atomic.Int64
 	done         chan struct{}
 	closed       atomic.Bool
 	mu           sync.Mutex
@@ -60,8 +62,7 @@
 			return
 		}
 		time.Sleep(batchDelay)
-		batch = append(batch[:0], line.Bytes()...)
-		line.Free()
+		batch = w.take(batch[:0], line)
 		ended := false
 		for more := true; more && len(batch) < batchBytes; {
 			select {
@@ -70,8 +71,7 @@
 					more = false
 					break
 				}
-				batch = append(batch, line.Bytes()...)
-				line.Free()
+				batch = w.take(batch, line)
 			default:
 				more = false
 			}
@@ -83,6 +83,14 @@
 	}
 }
 
+// take appends a line from the queue to a batch.
+func (w *Writer) take(batch []byte, line *buffer.Buffer) []byte {
+	batch = append(batch, line.Bytes()...)
+	w.queuedBytes.Add(-int64(line.Len()))
+	line.Free()
+	return batch
+}
+
 // Close writes the queued lines, waiting at most for timeout.
 func (w *Writer) Close(timeout time.Duration) {
 	if w.closed.Swap(true) {
@@ -103,15 +111,24 @@
 
 // enqueue queues a line, or drops it if the queue is full or closed.
 func (w *Writer) enqueue(message string, line *buffer.Buffer) {
-	if !w.closed.Load() {
+	if w.closed.Load() || !w.offer(line) {
+		line.Free()
+		w.dropCounter(message).Inc()
+	}
+}
+
+// offer queues a line if there is room for it.
+func (w *Writer) offer(line *buffer.Buffer) bool {
+	size := int64(line.Len())
+	if w.queuedBytes.Add(size) <= maxQueuedBytes {
 		select {
 		case w.lines <- line:
-			return
+			return true
 		default:
 		}
 	}
-	line.Free()
-	w.dropCounter(message).Inc()
+	w.queuedBytes.Add(-size)
+	return false
 }
 
 // dropCounter returns the counter of dropped lines with a message; messages beyond maxDropCounters share one.
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -57,3 +57,32 @@
 	close(o.unblock)
 	w.Close(time.Minute)
 }
+
+// Guards against a stuck output behind which a few thousand long lines, whose texts clients choose, take tens of megabytes.
+func TestAStuckOutputHoldsFewBytes(t *testing.T) {
+	is := is.New(t)
+	o := &blockingWriter{unblock: make(chan struct{})}
+	log, w := New("info", o, 0)
+	counter := metrics.GetOrCreateCounter(`bergamot_log_lines_dropped_total{message="long"}`)
+	before := counter.Get()
+	const lines, lineBytes = 2000, 15000
+	text := strings.Repeat("x", lineBytes)
+	for range lines {
+		log.Info("long", zap.String("text", text))
+	}
+	const most = (maxQueuedBytes+2*batchBytes)/lineBytes + 2 // in the queue, in one batch, and the one before it
+	is.True(counter.Get()-before >= lines-most)
+	close(o.unblock)
+	w.Close(0)
+}
+
+// Guards against written lines that count as queued for ever, so that later ones are dropped.
+func TestWrittenLinesMakeRoom(t *testing.T) {
+	is := is.New(t)
+	log, w := New("info", &blockingWriter{}, 0)
+	for range 10 {
+		log.Info("line")
+	}
+	w.Close(time.Minute)
+	is.Equal(w.queuedBytes.Load(), int64(0))
+}
