ingress: the kernel's buffers of clients have a budget

Cause: every connection had a buffer of 512 KB for reading, of which Linux uses twice, whatever it sent, and no budget counted it. Before it was accepted, the buffer was that of tcp_rmem (a window of 64 KB, 125 KB unread on this machine); one made smaller after that still holds what the client was told that it may send.

A listener now has 8 KB, which its connections inherit with their first packet (12 to 16 KB unread, measured), so that an ordinary head fits. A connection gets up to 512 KB while a large body is read, as far as all connections together stay below an eighth of the VM's memory; without room it keeps its buffer, and the body takes longer. Nobody is refused or closed for it. The connections that the other budget allows, 16 KB each, never take more than this eighth with their first buffers. Peers have the same until they are verified, then 64 KB.

Evidence: TestCrowdsStayWithinTheProcessLimits counts unread bytes beside the resident memory now, in the same crowds and bounds (48 MB, 80 clients).

--- a/cmd/bergamotd/crowd_requests_test.go
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -96,6 +96,9 @@
 	{"length hints of 16 million", header("Length-Hint", fixed("16777000"))},
 	{"deadlines without end", header("Deadline-Ms", fixed("1e300"))},
 	{"lengths of bodies that do not come", header("Content-Length", fixed("4194304"))},
+	{"bodies of 1 MB", func(h *crowdHead, _ string) {
+		h.headers["Content-Length"], h.body = "1048576", strings.Repeat("x", 1<<20)
+	}},
 }
 
 // Guards against requests of legal size whose names, numbers and lists make the process use more memory than its machine has, keep what
--- a/cmd/bergamotd/crowd_test.go
+++ b/cmd/bergamotd/crowd_test.go
@@ -179,8 +179,9 @@
 				peak := peakKB(status)
 				t.Logf("peak memory %d KB, with unread bytes %d KB, descriptors %d, then %d", peak, held.memoryKB, calm, held.descriptors)
 				is.True(peak > 0)
-				is.True(peak <= crowdMemoryMB<<10)        // resident memory
-				is.True(held.descriptors <= crowdFDBound) // while the clients are connected
+				is.True(peak <= crowdMemoryMB<<10)          // resident memory
+				is.True(held.memoryKB <= crowdMemoryMB<<10) // with what has been received and not yet read
+				is.True(held.descriptors <= crowdFDBound)   // while the clients are connected
 				for openDescriptors(t, pid) > calm+crowdFDs/8 {
 					time.Sleep(10 * time.Millisecond) // they fall back, or the test does not end
 				}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -31,9 +31,11 @@
 	since   time.Time // of the present state
 	writing time.Time // start of a large write; zero: none
 	unsent  int64     // size of that write, part of held
-	whole   bool      // the request has been read completely
-	served  bool      // a request was read completely before
-	gone    bool      // no longer counted; the connection is closed
+	// readBuffer is the size of the kernel's buffer for reading.
+	readBuffer int64
+	whole      bool // the request has been read completely
+	served     bool // a request was read completely before
+	gone       bool // no longer counted; the connection is closed
 }
 
 // errRefused is returned to net/http, which closes the connection without an answer.
@@ -234,6 +236,7 @@
 	if c.multiplexed {
 		return
 	}
+	c.releaseBuffer() // of a body that has not been read to its end
 	c.head = bounded.HeadCounter{}
 	c.headEnded.Store(false)
 	g := c.listener.guard
@@ -251,11 +254,14 @@
 type body struct {
 	io.ReadCloser
 	conn       *conn
+	length     int64 // below 0: not stated
 	head, read int64
+	enlarged   bool // the kernel's buffer has been made larger, or there was no room
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	b.enlargeBuffer()
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
 	if c := b.conn; c.listener.peers && n > 0 && b.read > ordinaryData {
@@ -264,8 +270,28 @@
 			return 0, errRefused
 		}
 	}
+	if err != nil {
+		b.conn.releaseBuffer()
+	}
 	if errors.Is(err, io.EOF) && !b.conn.admit() {
 		err = errRefused
 	}
 	return n, err
 }
+
+// enlargeBuffer enlarges the kernel's buffer for a large body when it is read first, and for one without a length when much of it has been
+// read. Peers are verified by short messages.
+func (b *body) enlargeBuffer() {
+	if b.enlarged || b.conn.listener.peers {
+		return
+	}
+	switch {
+	case b.length > minReadBytes:
+		b.conn.expectBody(b.length)
+	case b.length < 0 && b.read > minReadBytes:
+		b.conn.expectBody(maxReadBytes)
+	default:
+		return
+	}
+	b.enlarged = true
+}
--- a/ingress/frames.go
+++ b/ingress/frames.go
@@ -134,6 +134,7 @@
 	if !ok || c.verified.Swap(true) {
 		return
 	}
+	_ = c.SetReadBuffer(peerReadBytes) // fails only on a connection that has ended
 	g := c.listener.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -1,6 +1,7 @@
 // Package ingress bounds what clients make a process hold before a request of theirs is admitted, over all its listeners together.
 //
-// A Guard counts for each connection the memory that its reader, its request's head and the parsed header take, and the open connections.
+// A Guard counts for each connection the memory that its reader, its request's head and the parsed header take, the kernel's buffer for
+// what is not yet read, and the open connections.
 // When the memory or the number is used up, it closes connections whose request has not been read completely: those that hold the
 // most first, then those that are slowest. A request that has been read completely is never ended in favour of another.
 package ingress
@@ -56,10 +57,6 @@
 	maxEmptyLines = 8
 	// slowWrite is how long a client may take for one write of an answer before it counts as slow.
 	slowWrite = time.Second
-	// socketReadBytes and socketWriteBytes are the kernel's buffers of a client's connection. Requests of 4 MB on loopback take 4 % longer with 256 KB
-	// for reading, and answers stall with 32 KB for writing, where a segment has 64 KB.
-	socketReadBytes  = 512 << 10
-	socketWriteBytes = 128 << 10
 	// largeWrite is the size from which a write counts. Smaller ones are in net/http's buffer, which is part of connBytes.
 	largeWrite = 4 << 10
 )
@@ -69,7 +66,8 @@
 	opts     Options
 	maxBytes int64
 	mu       sync.Mutex
-	held     int64
+	held     int64 // by the process for its connections
+	buffers  int64 // of the kernel for reading, of all connections; has a budget of its own, as large
 	conns    map[*conn]struct{}
 	clients  int // connections of conns that are not of other entry VMs
 	logged   map[event]*occurrences
@@ -95,6 +93,7 @@
 		s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: concurrentStreams, MaxReadFrameSize: maxFrameBytes}
 	}
 	p := &listener{Listener: l, guard: g, name: name, peers: peers, maxConns: limit}
+	p.boundBuffers()
 	if s.TLSConfig != nil {
 		p.tls = s.TLSConfig.Clone()
 		p.tls.NextProtos = []string{"http/1.1"}
@@ -150,9 +149,6 @@
 		if !ok {
 			return accepted, nil
 		}
-		if !l.peers {
-			boundBuffers(tcp)
-		}
 		c := &conn{TCPConn: tcp, listener: l, since: time.Now()}
 		if l.tls != nil {
 			c.secure = tls.Server(tcp, l.tls)
@@ -164,14 +160,6 @@
 	}
 }
 
-// boundBuffers bounds what the kernel holds for a client, which counts towards the VM's memory. The kernel allows twice the sizes, for its
-// overhead, and no longer adapts them.
-func boundBuffers(c *net.TCPConn) {
-	// Both fail only on a connection that has ended.
-	_ = c.SetReadBuffer(socketReadBytes)
-	_ = c.SetWriteBuffer(socketWriteBytes)
-}
-
 // handler wraps a server's handler. A request whose header takes more than is left gets 431.
 func (l *listener) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -191,7 +179,7 @@
 				return
 			}
 		} else {
-			r.Body = &body{ReadCloser: r.Body, conn: c, head: head}
+			r.Body = &body{ReadCloser: r.Body, conn: c, head: head, length: r.ContentLength}
 		}
 		h.ServeHTTP(w, r)
 	})
@@ -225,6 +213,7 @@
 		}
 	}
 	g.conns[c] = struct{}{}
+	g.setReadBuffer(c, minReadBytes)
 	if !c.listener.peers {
 		g.clients++
 	}
@@ -294,6 +283,7 @@
 		c.gone = true
 		g.held -= c.held
 		c.held = 0
+		g.setReadBuffer(c, 0)
 		delete(g.conns, c)
 		if !c.listener.peers {
 			g.clients--
@@ -314,10 +304,11 @@
 // WriteMetrics writes what clients hold, and the bound.
 func (g *Guard) WriteMetrics(w io.Writer) {
 	g.mu.Lock()
-	held, clients, peers := g.held, g.count(false), g.count(true)
+	held, buffers, clients, peers := g.held, g.buffers, g.count(false), g.count(true)
 	g.mu.Unlock()
 	metrics.WriteGaugeUint64(w, "bergamot_ingress_held_bytes", uint64(held))
 	metrics.WriteGaugeUint64(w, "bergamot_ingress_held_limit_bytes", uint64(g.maxBytes))
+	metrics.WriteGaugeUint64(w, "bergamot_ingress_kernel_buffer_bytes", uint64(buffers))
 	metrics.WriteGaugeUint64(w, `bergamot_ingress_connections{from="clients"}`, uint64(clients))
 	metrics.WriteGaugeUint64(w, `bergamot_ingress_connections{from="peers"}`, uint64(peers))
 }
