conns: answers and bodies count once, in the kernel too

Twins of the unread bytes of clients. 80 clients that ask for 4 MB and do not read took 98 MB of a VM of 48 MB: the entry VM stops reading, and what the kernel goes on receiving from the upstream, with a buffer that Linux had enlarged meanwhile, counted nowhere. 80 bodies of 1 MB for servers that read slowly took 73 MB: the budget counted each once, and encode held a copy until the server had read it.

The buffers of connections to upstreams now have 16 KB from their first packet on, and up to 512 KB for an answer of a stated length, within the budget of the clients' buffers (package recvbuf, which ingress uses as well). A body above 8 KB is written from where it was read to, after the head, without a copy. The stage of a failed send is the same: it counts as sent from its first byte.

--- a/cmd/bergamotd/crowd_requests_test.go
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -135,7 +136,7 @@
 					})
 				})
 			}
-			most := sampleHeld(t, cmd.Process.Pid, ip, &done)
+			most := sampleHeld(t, cmd.Process.Pid, &done, ip)
 			o := ordinaryRequest(t, ip)
 			is.Equal(o.Status, http.StatusOK) // one ordinary request afterwards
 			t.Logf("most memory with unread bytes %d KB", most.memoryKB)
@@ -171,3 +172,56 @@
 		_ = c.Close()
 	}
 }
+
+// Guards against answers that the kernel has received from upstreams and that clients do not read, and against several copies of bodies that
+// upstreams read slowly.
+func TestLargeMessagesStayWithinTheProcessLimits(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	program := filepath.Join(t.TempDir(), "bergamotd")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	const messageBytes = 4 << 20
+	for _, way := range []struct {
+		name, body string
+		readRate   int // of the servers, bytes per second; 0: as they come
+	}{
+		{"answers of 4 MB that are not read", standin.LargeBody(0, messageBytes, "answer"), 0},
+		{"bodies of 1 MB that servers read slowly", standin.LargeBody(1<<20, 10, "upload"), 64 << 10},
+	} {
+		t.Run(strings.ReplaceAll(way.name, " ", "_"), func(t *testing.T) {
+			knownred.Skip(t)
+			is := is.New(t)
+			const servers = "127.99.99.4" // no other process uses it
+			server, err := standin.NewServer(standin.ServerOptions{ID: "engine-0", Service: "other", IP: servers, Slots: crowdClients, Observe: func(standin.Run) {}})
+			is.NoErr(err)
+			t.Cleanup(server.Crash)
+			server.SetReadRate(way.readRate)
+			cmd := exec.Command(program, "edge")
+			_, ip := startEdgeWithin(t, cmd, crowdMemoryMB, 2*crowdFDs, func(standin.Run) {}, server)
+			ctx, cancel := context.WithTimeout(t.Context(), crowdClientTime)
+			defer cancel()
+			var done sync.WaitGroup
+			for client := range crowdClients {
+				done.Go(func() {
+					c, err := standin.DialSlow(ctx, net.JoinHostPort(ip, "9000"), slowReadRate, 1<<10)
+					if err != nil {
+						return
+					}
+					defer c.Close()
+					c.Do(standin.Attempt{ID: fmt.Sprint("large-", client), Host: "h", Path: "/moving/x", Body: way.body, Deadline: time.Second})
+				})
+			}
+			most := sampleHeld(t, cmd.Process.Pid, &done, ip, servers)
+			o := ordinaryRequest(t, ip)
+			is.Equal(o.Status, http.StatusOK) // one ordinary request afterwards
+			t.Logf("most memory with unread bytes %d KB", most.memoryKB)
+			is.True(most.memoryKB <= crowdMemoryMB<<10)
+		})
+	}
+}
+
+// slowReadRate is at how many bytes per second a client reads a large answer.
+const slowReadRate = 1 << 10
--- a/cmd/bergamotd/crowd_test.go
+++ b/cmd/bergamotd/crowd_test.go
@@ -166,7 +166,7 @@
 						_, _ = io.Copy(io.Discard, c) // ends with the connection or the deadline
 					})
 				}
-				held := sampleHeld(t, pid, ip, &done)
+				held := sampleHeld(t, pid, &done, ip)
 				for _, c := range conns {
 					if c != nil {
 						_ = c.Close()
@@ -196,8 +196,9 @@
 	memoryKB    int // resident memory, and the bytes that the kernel has received for the process and that it has not read
 }
 
-// sampleHeld returns the most that the process with the IP address was seen to hold until done.
-func sampleHeld(t *testing.T, pid int, ip string, done *sync.WaitGroup) (most held) {
+// sampleHeld returns the most that a process was seen to hold until done. ip is its address, and upstreams are those of the servers that it
+// sends requests to.
+func sampleHeld(t *testing.T, pid int, done *sync.WaitGroup, ip string, upstreams ...string) (most held) {
 	t.Helper()
 	ended := make(chan struct{})
 	go func() {
@@ -206,7 +207,7 @@
 	}()
 	for {
 		most.descriptors = max(most.descriptors, openDescriptors(t, pid))
-		most.memoryKB = max(most.memoryKB, residentKB(t, pid)+unreadKB(t, ip))
+		most.memoryKB = max(most.memoryKB, residentKB(t, pid)+unreadKB(t, ip, upstreams))
 		select {
 		case <-ended:
 			return most
@@ -229,20 +230,22 @@
 	return pages * os.Getpagesize() >> 10
 }
 
-// unreadKB returns the sum of the receive queues of all connections of an IP address.
-func unreadKB(t *testing.T, ip string) int {
+// unreadKB returns the sum of the receive queues of all connections of an IP address, and of those to upstreams.
+func unreadKB(t *testing.T, ip string, upstreams []string) int {
 	t.Helper()
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := net.ParseIP(ip).To4()
-	local := fmt.Sprintf("%08X:", binary.LittleEndian.Uint32(b))
 	const listening = "0A"
-	sum := 0
+	local, sum := procAddress(ip), 0
 	for line := range strings.Lines(string(table)) {
 		f := strings.Fields(line) // number, local address, remote address, state, queues
-		if len(f) < 5 || !strings.HasPrefix(f[1], local) || f[3] == listening {
+		if len(f) < 5 || f[3] == listening {
+			continue
+		}
+		to := func(upstream string) bool { return strings.HasPrefix(f[2], procAddress(upstream)) }
+		if !strings.HasPrefix(f[1], local) && !slices.ContainsFunc(upstreams, to) {
 			continue
 		}
 		_, queue, _ := strings.Cut(f[4], ":")
@@ -255,6 +258,11 @@
 	return sum >> 10
 }
 
+// procAddress returns an IP address as it begins an address in /proc/net/tcp.
+func procAddress(ip string) string {
+	return fmt.Sprintf("%08X:", binary.NativeEndian.Uint32(net.ParseIP(ip).To4()))
+}
+
 // ordinaryRequest sends a request until it is not refused. A VM may close connections or answer 503 until it has noticed that the
 // clients are gone.
 func ordinaryRequest(t *testing.T, ip string) (o standin.Outcome) {
--- a/cmd/bergamotd/stop_test.go
+++ b/cmd/bergamotd/stop_test.go
@@ -49,13 +49,14 @@
 func startEdgeWithin(t *testing.T, cmd *exec.Cmd, memoryMB, maxFDs int, observe func(standin.Run), engines ...*standin.Server) (*exec.Cmd, string) {
 	t.Helper()
 	is := is.New(t)
+	const moving = "other" // the service of the route "/moving/"
 	store := standin.NewStore()
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
 	app, err := standin.NewServer(standin.ServerOptions{ID: "i-1", Service: "app", Slots: 8, Work: time.Millisecond, Observe: observe})
 	is.NoErr(err)
 	t.Cleanup(app.Crash)
-	is.NoErr(store.Put("config", "main", standin.Config(1, "h", "app", testRouteTimeout)))
+	is.NoErr(store.Put("config", "main", standin.Config(1, "h", moving, testRouteTimeout)))
 	is.NoErr(store.Put("servers", "i-1", app.Entry(app.Address(), "z", "ready", time.Now().UnixMilli())))
 	for n, engine := range engines {
 		is.NoErr(store.Put("servers", fmt.Sprint("engine-", n), engine.Entry(engine.Address(), "z", "ready", time.Now().UnixMilli())))
--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -88,7 +88,7 @@
 	c.carry(q.ID)
 	sentAt := time.Now()
 	stop := context.AfterFunc(ctx, func() { Reset(c.Conn) })
-	if n, err := c.Write(encode(q)); err != nil {
+	if n, err := c.send(q); err != nil {
 		stop()
 		c.abort()
 		stage := Sent
@@ -110,9 +110,27 @@
 	return r, nil
 }
 
-func encode(q *Request) []byte {
+// joinedBodyBytes is the size up to which a body is copied, so that one write sends it with the head.
+const joinedBodyBytes = 8 << 10
+
+// send writes a request and returns the number of bytes written.
+func (c *conn) send(q *Request) (int, error) {
+	head := encodeHead(q)
+	if len(q.Body) <= joinedBodyBytes {
+		return c.Write(append(head, q.Body...))
+	}
+	n, err := c.Write(head)
+	if err != nil {
+		return n, err
+	}
+	m, err := c.Write(q.Body)
+	return n + m, err
+}
+
+// encodeHead returns the head of a request, with room for a short body.
+func encodeHead(q *Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(q.Body))
+	b.Grow(512 + min(len(q.Body), joinedBodyBytes))
 	b.WriteString(q.Method)
 	b.WriteByte(' ')
 	b.WriteString(q.URI)
@@ -126,7 +144,6 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(q.Body)
 	return b.Bytes()
 }
 
@@ -170,6 +187,7 @@
 		if h.Body == http.NoBody {
 			length = 0
 		}
+		c.buffer.Grow(length)
 		return &Response{Status: h.StatusCode, Header: h.Header, Framed: framed, Length: length, http10: !h.ProtoAtLeast(1, 1), body: h.Body, conn: c}, nil
 	}
 }
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -24,6 +24,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bergamotcroft.example/bergamot/internal/bounded"
+	"bergamotcroft.example/bergamot/internal/recvbuf"
 )
 
 // Options configures a Pool. Zero values take the defaults.
@@ -36,6 +37,8 @@
 	IdleTimeout  time.Duration // for connections whose upstream states no keep-alive timeout
 	// ForeignBodyTimeout bounds the reading of an answer to another request.
 	ForeignBodyTimeout time.Duration
+	// ReadBuffers bounds what the kernel holds of answers; nil: not bounded.
+	ReadBuffers *recvbuf.Budget
 }
 
 const (
@@ -50,6 +53,8 @@
 	// idleMargin is subtracted from the upstream's keep-alive timeout, so that no request is sent while it closes.
 	idleMargin      = 500 * time.Millisecond
 	readBufferBytes = 4 << 10 // a typical answer of a plain service fits
+	// socketReadBytes is the kernel's buffer for reading until a long answer is read. Most events of a stream fit.
+	socketReadBytes = 16 << 10
 )
 
 // Pool keeps idle connections by upstream.
@@ -81,6 +86,9 @@
 	setDefault(&o.MaxIdle, defaultMaxIdle)
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
 	setDefault(&o.ForeignBodyTimeout, defaultForeignBodyTimeout)
+	if o.ReadBuffers == nil {
+		o.ReadBuffers = recvbuf.NewBudget(0)
+	}
 	p := &Pool{opts: o, idle: map[string][]*conn{}, open: map[string]int{}, dialProbes: map[string]*dialProbe{}}
 	p.probes, p.endProbes = context.WithCancel(context.Background())
 	p.dialer = net.Dialer{
@@ -88,7 +96,10 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: o.SilenceLimit / 2, Interval: o.SilenceLimit / 4, Count: 2,
 		},
-		Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, o.SilenceLimit) },
+		Control: func(_, _ string, c syscall.RawConn) error {
+			_ = recvbuf.SetInitial(c, socketReadBytes) // after an error the kernel's default holds, and the connection works
+			return setUserTimeout(c, o.SilenceLimit)
+		},
 	}
 	return p
 }
@@ -119,6 +130,7 @@
 	address string
 	raw     *boundedSource
 	r       *bufio.Reader
+	buffer  *recvbuf.Buffer
 	expires time.Time // when an idle connection is too old to be reused
 	idleAt  time.Time // when the last exchange of an idle connection ended
 	carried []uint64  // hashes of the IDs of the last requests, oldest first
@@ -193,6 +205,11 @@
 		dialErrors.Inc()
 		return nil, err
 	}
+	return p.newConn(c, address)
+}
+
+// newConn returns a connection of the pool over c.
+func (p *Pool) newConn(c net.Conn, address string) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -202,7 +219,11 @@
 	p.open[address]++
 	raw := &boundedSource{Reader: c}
 	raw.removeLimit()
-	return &conn{Conn: c, pool: p, address: address, raw: raw, r: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	out := &conn{Conn: c, pool: p, address: address, raw: raw, r: bufio.NewReaderSize(raw, readBufferBytes)}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		out.buffer = p.opts.ReadBuffers.Add(tcp, socketReadBytes)
+	}
+	return out, nil
 }
 
 // boundedSource reads from a connection up to a limit that its user sets for the part being read.
@@ -256,6 +277,7 @@
 		c.discard()
 		return
 	}
+	c.buffer.Shrink()
 	c.idleAt = time.Now()
 	c.expires = c.idleAt.Add(life)
 	p := c.pool
@@ -287,6 +309,7 @@
 
 func (c *conn) discard() {
 	_ = c.Close()
+	c.buffer.Release()
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -96,7 +96,7 @@
 	limitRuntime(o.Settings.ResourceLimits)
 	e.limits = ingress.New(ingress.Options{MemoryBytes: o.Settings.ResourceLimits.MemoryBytes, Descriptors: o.Settings.ResourceLimits.Descriptors, Log: o.Log})
 	e.objects = platform.NewObjects(platform.ObjectsOptions{Address: o.Settings.Store.Address, Log: o.Log})
-	e.pool = conns.New(conns.Options{})
+	e.pool = conns.New(conns.Options{ReadBuffers: e.limits.ReadBuffers()})
 	if err := e.buildPeers(); err != nil {
 		return nil, err
 	}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -4,11 +4,13 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"bergamotcroft.example/bergamot/internal/bounded"
+	"bergamotcroft.example/bergamot/internal/recvbuf"
 )
 
 // conn is a connection of a client.
@@ -17,6 +19,7 @@
 	secure      *tls.Conn // over TCPConn; nil: no TLS
 	listener    *listener
 	multiplexed bool // HTTP/2
+	readBuffer  *recvbuf.Buffer
 	// verified is set once a request on the connection has proved to be a peer's.
 	verified atomic.Bool
 	// headEnded is set between the end of a head and awaitHead. net/http reads in another goroutine while a handler runs.
@@ -31,11 +34,9 @@
 	since   time.Time // of the present state
 	writing time.Time // start of a large write; zero: none
 	unsent  int64     // size of that write, part of held
-	// readBuffer is the size of the kernel's buffer for reading.
-	readBuffer int64
-	whole      bool // the request has been read completely
-	served     bool // a request was read completely before
-	gone       bool // no longer counted; the connection is closed
+	whole   bool      // the request has been read completely
+	served  bool      // a request was read completely before
+	gone    bool      // no longer counted; the connection is closed
 }
 
 // errRefused is returned to net/http, which closes the connection without an answer.
@@ -236,7 +237,7 @@
 	if c.multiplexed {
 		return
 	}
-	c.releaseBuffer() // of a body that has not been read to its end
+	c.readBuffer.Shrink() // of a body that has not been read to its end
 	c.head = bounded.HeadCounter{}
 	c.headEnded.Store(false)
 	g := c.listener.guard
@@ -271,7 +272,7 @@
 		}
 	}
 	if err != nil {
-		b.conn.releaseBuffer()
+		b.conn.readBuffer.Shrink()
 	}
 	if errors.Is(err, io.EOF) && !b.conn.admit() {
 		err = errRefused
@@ -287,9 +288,9 @@
 	}
 	switch {
 	case b.length > minReadBytes:
-		b.conn.expectBody(b.length)
+		b.conn.readBuffer.Grow(b.length)
 	case b.length < 0 && b.read > minReadBytes:
-		b.conn.expectBody(maxReadBytes)
+		b.conn.readBuffer.Grow(math.MaxInt64)
 	default:
 		return
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -17,6 +17,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
+
+	"bergamotcroft.example/bergamot/internal/recvbuf"
 )
 
 // Options configures a Guard.
@@ -65,12 +67,14 @@
 type Guard struct {
 	opts     Options
 	maxBytes int64
-	mu       sync.Mutex
-	held     int64 // by the process for its connections
-	buffers  int64 // of the kernel for reading, of all connections; has a budget of its own, as large
-	conns    map[*conn]struct{}
-	clients  int // connections of conns that are not of other entry VMs
-	logged   map[event]*occurrences
+	// readBuffers is a budget as large as maxBytes, for what the kernel holds.
+	readBuffers *recvbuf.Budget
+
+	mu      sync.Mutex
+	held    int64 // by the process for its connections
+	conns   map[*conn]struct{}
+	clients int // connections of conns that are not of other entry VMs
+	logged  map[event]*occurrences
 }
 
 // New returns a Guard for a process with the given limits.
@@ -78,7 +82,8 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Guard{opts: o, maxBytes: o.MemoryBytes / memoryDivisor, conns: map[*conn]struct{}{}, logged: map[event]*occurrences{}}
+	budget := o.MemoryBytes / memoryDivisor
+	return &Guard{opts: o, maxBytes: budget, readBuffers: recvbuf.NewBudget(budget), conns: map[*conn]struct{}{}, logged: map[event]*occurrences{}}
 }
 
 // Protect makes s count its connections and requests, and returns the listener that s must serve. name is that of the listener in metrics
@@ -213,7 +218,7 @@
 		}
 	}
 	g.conns[c] = struct{}{}
-	g.setReadBuffer(c, minReadBytes)
+	c.readBuffer = g.readBuffers.Add(c.TCPConn, minReadBytes)
 	if !c.listener.peers {
 		g.clients++
 	}
@@ -283,7 +288,7 @@
 		c.gone = true
 		g.held -= c.held
 		c.held = 0
-		g.setReadBuffer(c, 0)
+		c.readBuffer.Release()
 		delete(g.conns, c)
 		if !c.listener.peers {
 			g.clients--
@@ -304,11 +309,11 @@
 // WriteMetrics writes what clients hold, and the bound.
 func (g *Guard) WriteMetrics(w io.Writer) {
 	g.mu.Lock()
-	held, buffers, clients, peers := g.held, g.buffers, g.count(false), g.count(true)
+	held, clients, peers := g.held, g.count(false), g.count(true)
 	g.mu.Unlock()
 	metrics.WriteGaugeUint64(w, "bergamot_ingress_held_bytes", uint64(held))
 	metrics.WriteGaugeUint64(w, "bergamot_ingress_held_limit_bytes", uint64(g.maxBytes))
-	metrics.WriteGaugeUint64(w, "bergamot_ingress_kernel_buffer_bytes", uint64(buffers))
+	metrics.WriteGaugeUint64(w, "bergamot_ingress_kernel_buffer_bytes", uint64(g.readBuffers.Used()))
 	metrics.WriteGaugeUint64(w, `bergamot_ingress_connections{from="clients"}`, uint64(clients))
 	metrics.WriteGaugeUint64(w, `bergamot_ingress_connections{from="peers"}`, uint64(peers))
 }
