edge, forward: bodies and the runtime's limit leave room for the program

Traced: 16 MB of that is the program's code and data, which neither the runtime's limit (0.6 of the memory) nor the budget of bodies (a quarter) left room for.

Both now count from what the program leaves, and the limit leaves an eighth of the memory for the kernel's buffers and one for what is allocated until a collection ends. On a VM of 144 MB or more the limit stays 0.6, and bodies have 32 in place of 36 MB, at 284 MB 67 in place of 71. A body whose stated length is above what is left is refused at once, before its first part is read, and a buffer for a stated length grows in fewer steps.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -122,18 +122,33 @@
 	return e, nil
 }
 
-// memoryLimitShare is the runtime's soft memory limit as a share of the VM's memory. The remainder is for kernel
-// buffers and for peaks between two garbage collections.
-const memoryLimitShare = 0.6
+// Shares of a VM's memory.
+const (
+	// programBytes is the resident code and data of the program, which the runtime's limit does not include.
+	programBytes = 16 << 20
+	// memoryLimitShare is the most of the memory that the runtime's soft limit may have. The remainder is for kernel buffers and for
+	// peaks between two garbage collections; on a small VM these and the program leave less.
+	memoryLimitShare  = 0.6
+	kernelBufferShare = 1. / 8
+	collectionShare   = 1. / 8
+	// bodyMemoryDivisor divides what the program leaves to give the memory for request bodies: less than half of the runtime's
+	// soft limit.
+	bodyMemoryDivisor = 4
+)
 
-// bodyMemoryDivisor divides the VM's memory to give the memory for request bodies: less than half of the runtime's soft
-// limit.
-const bodyMemoryDivisor = 4
+// withoutProgram returns what the program leaves of a VM's memory.
+func withoutProgram(vmBytes int64) int64 { return max(vmBytes-programBytes, vmBytes/2) }
+
+// memoryLimit returns the runtime's soft memory limit on a VM.
+func memoryLimit(vmBytes int64) int64 {
+	peaks := (kernelBufferShare + collectionShare) * float64(vmBytes)
+	return int64(min(memoryLimitShare*float64(vmBytes), float64(withoutProgram(vmBytes))-peaks))
+}
 
 func limitRuntime(m platform.ResourceLimits) {
 	runtime.GOMAXPROCS(1)
 	if m.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(m.MemoryBytes)))
+		debug.SetMemoryLimit(memoryLimit(m.MemoryBytes))
 	}
 }
 
@@ -281,7 +296,7 @@
 	})
 	e.front = forward.New(forward.Options{
 		Gateway: e.gateway, Pool: e.pool, Codec: platform.Codec{}, Table: e.catalog.Table, ConfigurationConfirmed: e.configurationConfirmed, Log: e.log,
-		BodyMemory: e.settings.ResourceLimits.MemoryBytes / bodyMemoryDivisor, Crashes: e.crashes, Versions: e.versions,
+		BodyMemory: withoutProgram(e.settings.ResourceLimits.MemoryBytes) / bodyMemoryDivisor, Crashes: e.crashes, Versions: e.versions,
 		OnPlaced: func(parts []policy.Part, upstreams ...string) { e.loads.QueuePlacement(parts, upstreams...) },
 		OnSend:   func() { e.loads.TriggerRound() },
 		OnLimit:  func() { e.permits.Trigger() },
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -330,6 +330,10 @@
 	if x.r.ContentLength == 0 {
 		return nil
 	}
+	if x.r.ContentLength > x.f.opts.BodyMemory-x.f.bodies.Load() { // refused before its first part is read
+		x.f.metrics.bodyMemory.Inc()
+		return errNoMemory()
+	}
 	var err error
 	x.body, err = bounded.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit), "request body", x.r.ContentLength, limit, x.reserve)
 	var tooLarge *http.MaxBytesError
--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -36,6 +36,9 @@
 // maxPreallocBytes bounds the buffer that is allocated for a stated length before any byte has arrived.
 const maxPreallocBytes = 64 << 10
 
+// statedGrowth is the factor by which a buffer grows whose sender has stated a greater length. The smaller buffers are garbage.
+const statedGrowth = 4
+
 // ReadAll reads r to its end. length is the length that the sender stated, negative if none; limit is the maximum number of bytes.
 // reserve is called with the additional bytes before each allocation and may refuse it; nil allows all. what names the input in an *Error.
 func ReadAll(r io.Reader, what string, length, limit int64, reserve func(n int64) error) ([]byte, error) {
@@ -68,7 +71,7 @@
 		}
 		grown := min(2*int64(cap(b)), limit+1)
 		if length >= int64(len(b)) {
-			grown = min(grown, length+1)
+			grown = min(statedGrowth*int64(cap(b)), length+1)
 		}
 		if reserve != nil {
 			if err := reserve(grown - int64(cap(b))); err != nil {
