forward: answers that wait for callers are counted

An answer of a stated length above 4 KB is taken from the memory for bodies until its request ends. Without room it is relayed as it arrives, like those above 256 KB, in pieces of 4 KB, so that the caller still gets it. Connections to upstreams have 8 KB for reading, as clients'. The runtime's soft limit is half of the memory in place of 0.6: the program's 16 MB and unread bytes left 15 MB of 144 for peaks.

--- a/cmd/bergamotd/crowd_requests_test.go
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -189,6 +189,7 @@
 		readRate   int // of the servers, bytes per second; 0: as they come
 	}{
 		{"answers of 4 MB that are not read", standin.LargeBody(0, messageBytes, "answer"), 0},
+		{"answers of 250 KB that are not read", standin.LargeBody(0, 250<<10, "answer"), 0},
 		{"bodies of 1 MB that servers read slowly", standin.LargeBody(1<<20, 10, "upload"), 64 << 10},
 	} {
 		t.Run(strings.ReplaceAll(way.name, " ", "_"), func(t *testing.T) {
--- a/conns/pool.go
+++ b/conns/pool.go
@@ -54,7 +54,7 @@
 	idleMargin      = 500 * time.Millisecond
 	readBufferBytes = 4 << 10 // a typical answer of a plain service fits
 	// socketReadBytes is the kernel's buffer for reading until a long answer is read. Most events of a stream fit.
-	socketReadBytes = 16 << 10
+	socketReadBytes = 8 << 10
 )
 
 // Pool keeps idle connections by upstream.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -128,7 +128,7 @@
 	programBytes = 16 << 20
 	// memoryLimitShare is the most of the memory that the runtime's soft limit may have. The remainder is for kernel buffers and for
 	// peaks between two garbage collections; on a small VM these and the program leave less.
-	memoryLimitShare  = 0.6
+	memoryLimitShare  = 0.5
 	kernelBufferShare = 1. / 8
 	collectionShare   = 1. / 8
 	// bodyMemoryDivisor divides what the program leaves to give the memory for request bodies: less than half of the runtime's
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -149,7 +149,7 @@
 		return err
 	}
 	defer resp.Close()
-	if a.Proof && resp.Status/100 == 2 && resp.Length > maxBufferedBytes && resp.Length <= maxAnswerBytes {
+	if a.Proof && resp.Status/100 == 2 && x.mustRelay(resp.Length) {
 		return x.relayBody(ctx, p, resp)
 	}
 	got, err := x.readAnswer(ctx, p, resp, a)
@@ -168,6 +168,18 @@
 	return nil
 }
 
+// mustRelay reports whether a successful answer of a stated length is relayed as it arrives, since it is too long to buffer or the
+// memory for requests is used up. Otherwise it has reserved the memory for it.
+func (x *exchange) mustRelay(length int64) bool {
+	switch {
+	case length > maxAnswerBytes || length <= minRelayBufferBytes:
+		return false
+	case length > maxBufferedBytes:
+		return true
+	}
+	return x.reserve(length) != nil
+}
+
 var errServerError = errors.New("the upstream ran the request and failed")
 
 // retryable reports whether an answer with this status is a failure that may be retried at another upstream.
@@ -205,7 +217,11 @@
 	}
 	x.writeHeader(resp)
 	control := http.NewResponseController(x.w)
-	buf := make([]byte, relayBufferBytes)
+	size := relayBufferBytes
+	if x.reserve(relayBufferBytes) != nil {
+		size = minRelayBufferBytes
+	}
+	buf := make([]byte, size)
 	for {
 		n, err := resp.Read(buf)
 		if n > 0 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -41,7 +41,7 @@
 	// be refused for good.
 	ConfigurationConfirmed func() bool
 	Log                    *zap.Logger
-	// BodyMemory bounds the total bytes of request bodies and long prompts' parts held in memory; 0: a default.
+	// BodyMemory bounds the total bytes held of request bodies, long prompts' parts and answers of a stated length; 0: a default.
 	BodyMemory int64
 	// Crashes counts the crashes of requests across all entry VMs; nil: this entry VM only.
 	Crashes *quarantine.Ledger
@@ -119,7 +119,9 @@
 	// a Content-Length, and fail otherwise.
 	maxBufferedBytes = 256 << 10
 	relayBufferBytes = 32 << 10
-	maxControlBytes  = 64 << 10 // bytes of an answer to a control call of this system
+	// minRelayBufferBytes is the size if the memory for requests is used up, and that of an answer that is part of its connection's memory.
+	minRelayBufferBytes = 4 << 10
+	maxControlBytes     = 64 << 10 // bytes of an answer to a control call of this system
 	// maxDiscardBytes of a body are read only so that the connection can be reused. For more, a new connection costs
 	// less.
 	maxDiscardBytes = 16 << 10
@@ -137,7 +139,7 @@
 // ServeHTTP serves one request of a caller.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{f: f, w: w, r: r, arrival: time.Now()}
-	defer func() { f.bodies.Add(-x.reserved) }()
+	defer func() { f.bodies.Add(-x.reserved.Load()) }()
 	if f.stopPlan.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -172,9 +174,9 @@
 	trial        bool // the request tries a refused part
 	trialSent    atomic.Bool
 	body         []byte
-	// reserved is the part of the body memory, in bytes, that is held until the request ends, since the body may be
-	// sent again.
-	reserved int64
+	// reserved is the part of Options.BodyMemory, in bytes, that is held until the request ends, since the body may be
+	// sent again and the answer waits for the caller.
+	reserved atomic.Int64
 	uri      string
 	deadline time.Time // the earlier of the caller's deadline and the route's time limit
 
@@ -381,7 +383,7 @@
 		x.f.metrics.bodyMemory.Inc()
 		return errBodyMemory
 	}
-	x.reserved += n
+	x.reserved.Add(n)
 	return nil
 }
 
