tests, forward, recvbuf: one build, one measure of the heap, clearer names

The tests of crowds build the daemon in one place, two tests share the measure of live objects (internal/liveheap), the option of a socket is set in one place, and mustRelay, which also reserved memory, is reserveAnswer. A log line holds 256 bytes of a method, too, which a client chooses as freely as the host beside it.

--- a/cmd/bergamotd/crowd_requests_test.go
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -108,11 +107,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	program := filepath.Join(t.TempDir(), "bergamotd")
-	// Built without the race detector, which takes several times the memory.
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := buildProgram(t)
 	for _, way := range crowdRequestWays {
 		t.Run(strings.ReplaceAll(way.name, " ", "_"), func(t *testing.T) {
 			knownred.Skip(t)
@@ -179,10 +174,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	program := filepath.Join(t.TempDir(), "bergamotd")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := buildProgram(t)
 	const messageBytes = 4 << 20
 	for _, way := range []struct {
 		name, body string
--- a/cmd/bergamotd/crowd_test.go
+++ b/cmd/bergamotd/crowd_test.go
@@ -128,11 +128,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	program := filepath.Join(t.TempDir(), "bergamotd")
-	// Built without the race detector, which takes several times the memory.
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := buildProgram(t)
 	for _, way := range slices.Concat(crowdWays, peerWays) {
 		for _, port := range way.listeners {
 			t.Run(fmt.Sprint(strings.ReplaceAll(way.name, " ", "_"), "_at_", port), func(t *testing.T) {
@@ -190,6 +186,16 @@
 	}
 }
 
+// buildProgram builds the daemon without the race detector, which takes several times the memory, and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "bergamotd")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return program
+}
+
 // held is the most that a process was seen to hold.
 type held struct {
 	descriptors int
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -149,7 +149,7 @@
 		return err
 	}
 	defer resp.Close()
-	if a.Proof && resp.Status/100 == 2 && x.mustRelay(resp.Length) {
+	if a.Proof && resp.Status/100 == 2 && !x.reserveAnswer(resp.Length) {
 		return x.relayBody(ctx, p, resp)
 	}
 	got, err := x.readAnswer(ctx, p, resp, a)
@@ -168,16 +168,16 @@
 	return nil
 }
 
-// mustRelay reports whether a successful answer of a stated length is relayed as it arrives, since it is too long to buffer or the
-// memory for requests is used up. Otherwise it has reserved the memory for it.
-func (x *exchange) mustRelay(length int64) bool {
+// reserveAnswer reserves the memory to hold a successful answer of a stated length, and reports whether it may be held. Otherwise it is
+// relayed as it arrives. An answer that is too long for both is held, and fails when it is read.
+func (x *exchange) reserveAnswer(length int64) bool {
 	switch {
 	case length > maxAnswerBytes || length <= minRelayBufferBytes:
-		return false
-	case length > maxBufferedBytes:
 		return true
+	case length > maxBufferedBytes:
+		return false
 	}
-	return x.reserve(length) != nil
+	return x.reserve(length) == nil
 }
 
 var errServerError = errors.New("the upstream ran the request and failed")
--- a/forward/record.go
+++ b/forward/record.go
@@ -88,7 +88,7 @@
 // identityFields returns what the fingerprint of a request is made of, as log fields. Credentials and the body are hashed.
 func (x *exchange) identityFields() []zap.Field {
 	return []zap.Field{
-		zap.Uint64("fingerprint", uint64(x.fingerprint)), zap.Uint64("caller", xxhash.Sum64String(x.call.Caller)), zap.String("method", x.r.Method),
+		zap.Uint64("fingerprint", uint64(x.fingerprint)), zap.Uint64("caller", xxhash.Sum64String(x.call.Caller)), zap.String("method", clipped(x.r.Method)),
 		zap.String("host", clipped(x.r.Host)), zap.String("uri", clipped(x.uri)), zap.Int("body_bytes", len(x.body)),
 		zap.Uint64("body", xxhash.Sum64(x.body)),
 	}
@@ -97,6 +97,7 @@
 // maxLoggedBytes bounds each text of a caller's choice in a log line.
 const maxLoggedBytes = 256
 
+// clipped returns the beginning of a text for a log line.
 func clipped(s string) string { return s[:min(len(s), maxLoggedBytes)] }
 
 // requestField returns the log field that identifies the request.
--- a/ingress/buffers.go
+++ b/ingress/buffers.go
@@ -33,19 +33,9 @@
 		err = recvbuf.SetInitial(raw, minReadBytes)
 	}
 	if err == nil && !l.peers { // peers fetch large answers from other regions
-		err = setWriteBuffer(raw)
+		err = recvbuf.SetOption(raw, syscall.SO_SNDBUF, writeBytes)
 	}
 	if err != nil {
 		l.guard.opts.Log.Warn("the kernel's buffers of clients are not bounded", zap.String("listener", l.name), zap.Error(err))
 	}
 }
-
-func setWriteBuffer(c syscall.RawConn) error {
-	var failed error
-	if err := c.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, writeBytes)
-	}); err != nil {
-		return err
-	}
-	return failed
-}
--- a/internal/recvbuf/recvbuf.go
+++ b/internal/recvbuf/recvbuf.go
@@ -17,11 +17,12 @@
 const MaxBytes = 256 << 10
 
 // SetInitial sets the buffer of a socket that is to connect, or of the connections that a listening one will accept.
-func SetInitial(c syscall.RawConn, bytes int) error {
+func SetInitial(c syscall.RawConn, bytes int) error { return SetOption(c, syscall.SO_RCVBUF, bytes) }
+
+// SetOption sets SO_RCVBUF or SO_SNDBUF of a socket.
+func SetOption(c syscall.RawConn, option, bytes int) error {
 	var failed error
-	if err := c.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes)
-	}); err != nil {
+	if err := c.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, bytes) }); err != nil {
 		return err
 	}
 	return failed
--- a/quarantine/watch_test.go
+++ b/quarantine/watch_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"bergamotcroft.example/bergamot/internal/liveheap"
 	"bergamotcroft.example/bergamot/result"
 )
 
@@ -20,23 +21,15 @@
 			parts[n] = append(parts[n], PartID(n*listed+i+1))
 		}
 	}
-	before := heapBytes()
+	before := liveheap.Bytes()
 	stops := make([]func(), requests)
 	for n := range parts {
 		stops[n] = p.Watch(parts[n], func(*result.Error) {})
 	}
-	is.True(heapBytes() < before+bound)
+	is.True(liveheap.Bytes() < before+bound)
 	for _, stop := range stops {
 		stop()
 	}
 	is.Equal(len(p.watches), 0)
 	runtime.KeepAlive(parts)
 }
-
-// heapBytes returns the bytes of live objects.
-func heapBytes() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
--- a/scheduler/unknown_model_test.go
+++ b/scheduler/unknown_model_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"bergamotcroft.example/bergamot/internal/liveheap"
 	"bergamotcroft.example/bergamot/policy"
 	"bergamotcroft.example/bergamot/result"
 	"bergamotcroft.example/bergamot/scheduler"
@@ -24,7 +25,7 @@
 		return s.Offer(time.Millisecond, &policy.Request{ID: uint64(n) + 1, Model: model, UnknownModel: true, Deadline: time.Minute, PromptTokens: 10})
 	}
 	const requests, nameBytes, bound = 1000, 15000, 1 << 20
-	before := heapBytes()
+	before := liveheap.Bytes()
 	for n := range requests {
 		name := fmt.Sprintf("%06d%s", n, strings.Repeat("x", nameBytes))
 		actions := offer(n, name)
@@ -34,18 +35,10 @@
 		is.True(actions[0].RetryAfter > 0)
 		is.True(!s.Cancel(time.Millisecond, actions[0].Request)) // a caller that leaves
 	}
-	is.True(heapBytes() < before+bound)
+	is.True(liveheap.Bytes() < before+bound)
 	runtime.KeepAlive(s)
 
 	actions := offer(requests, "m") // an upstream has it
 	is.Equal(len(actions), 1)
 	is.Equal(actions[0].Kind, scheduler.Dispatch)
 }
-
-// heapBytes returns the bytes of live objects.
-func heapBytes() uint64 {
-	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
-}
