--- a/conns/exchange.go
+++ b/conns/exchange.go
@@ -127,7 +127,7 @@
 	return n + m, err
 }
 
-// encodeHead returns the head of a request, with room for a short body.
+// encodeHead returns the head of a request, with capacity for a short body.
 func encodeHead(q *Request) []byte {
 	var b bytes.Buffer
 	b.Grow(512 + min(len(q.Body), joinedBodyBytes))
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -257,7 +257,7 @@
 	conn       *conn
 	length     int64 // below 0: not stated
 	head, read int64
-	enlarged   bool // the kernel's buffer has been made larger, or there was no room
+	enlarged   bool // a larger kernel's buffer has been asked for
 }
 
 // Read implements io.Reader.
--- a/internal/recvbuf/recvbuf.go
+++ b/internal/recvbuf/recvbuf.go
@@ -1,8 +1,8 @@
 // Package recvbuf bounds the kernel's buffers for what a process has received and not yet read, which count towards the memory of its
 // machine.
 //
-// A connection has a small buffer from its first packet on: one that is made smaller later still holds what the sender was told that it
-// may send. It gets a larger one while a large message is read, as far as a Budget allows; without room, the message takes longer.
+// A connection has a small buffer from its first packet on, since a window that has been advertised is not taken back when the buffer is
+// made smaller. It gets a larger one while a large message is read, as far as a Budget allows; otherwise the message takes longer.
 package recvbuf
 
 import (
@@ -71,7 +71,7 @@
 	x.size = size
 }
 
-// Grow enlarges the buffer for a message of n bytes, as far as there is room.
+// Grow enlarges the buffer for a message of n bytes, as far as the budget allows.
 func (x *Buffer) Grow(n int64) {
 	if x == nil {
 		return
@@ -92,8 +92,8 @@
 	}
 }
 
-// Shrink gives the buffer its initial size again if more than half of the budget is used. Otherwise it stays, for the next large message:
-// the sender still knows of the room, and what a smaller buffer cannot take is lost and sent again.
+// Shrink gives the buffer its initial size again if more than half of the budget is used. Otherwise it stays, since the sender's window
+// stays as well: the kernel would drop what a smaller buffer can't take, and the sender repeat it after a timeout.
 func (x *Buffer) Shrink() {
 	if x == nil {
 		return
@@ -105,7 +105,7 @@
 	if !due {
 		return
 	}
-	_ = x.conn.SetReadBuffer(int(x.initial)) // before others get the room
+	_ = x.conn.SetReadBuffer(int(x.initial)) // before others can take it
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !x.released {
--- a/internal/recvbuf/recvbuf_test.go
+++ b/internal/recvbuf/recvbuf_test.go
@@ -13,7 +13,7 @@
 	return nil
 }
 
-// Guards against buffers of many connections that together use more than the budget, and against room that a closed one keeps.
+// Guards against buffers of many connections that together use more than the budget, and against a closed one that is still counted.
 func TestBuffersShareTheBudget(t *testing.T) {
 	is := is.New(t)
 	const initial = 8 << 10
@@ -25,9 +25,9 @@
 	}
 	buffers[0].Grow(64 << 20)
 	is.Equal(conns[0], resized{MaxBytes})
-	buffers[1].Grow(16 << 10) // into the room that the first one's growth leaves
+	buffers[1].Grow(16 << 10) // what the first one's growth leaves
 	is.True(b.Used() <= kernelFactor*(3*initial+MaxBytes))
-	buffers[2].Grow(MaxBytes) // no room: it keeps its size
+	buffers[2].Grow(MaxBytes) // nothing is left: it keeps its size
 	is.Equal(len(conns[2]), 0)
 
 	buffers[0].Shrink()
@@ -44,7 +44,7 @@
 	(*Buffer)(nil).Grow(1)
 }
 
-// Guards against a connection that loses the packets of its next large message, though there is room for it.
+// Guards against a connection that loses the packets of its next large message, though the budget allows it.
 func TestALargeBufferStaysWhileThereIsRoom(t *testing.T) {
 	is := is.New(t)
 	const initial = 8 << 10
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -117,7 +117,7 @@
 	}
 }
 
-// offer queues a line if there is room for it.
+// offer queues a line unless the queue is full.
 func (w *Writer) offer(line *buffer.Buffer) bool {
 	size := int64(line.Len())
 	if w.queuedBytes.Add(size) <= maxQueuedBytes {
