forward, edge: relayed answers are not counted as refusals; one share of the kernel

bergamot_forward_refused_for_body_memory_total counted each failed reservation, so also answers that are relayed for lack of memory and reach their callers. It counts refusals where they are made, in one place. The runtime's limit takes the share of the kernel's buffers from package ingress, which sets it, and a comment there named the former limit.

--- a/cmd/bergamotd/crowd_requests_test.go
+++ b/cmd/bergamotd/crowd_requests_test.go
@@ -31,7 +31,7 @@
 			knownred.Skip(t)
 			is := is.New(t)
 			engine, err := standin.NewServer(standin.ServerOptions{
-				ID: "engine-0", Service: "text", Phase: "decode", Streams: true, Slots: crowdClients, Work: 20 * time.Millisecond, Observe: func(standin.Run) {},
+				ID: "server-0", Service: "text", Phase: "decode", Streams: true, Slots: crowdClients, Work: 20 * time.Millisecond, Observe: func(standin.Run) {},
 			})
 			is.NoErr(err)
 			t.Cleanup(engine.Crash)
@@ -103,7 +103,7 @@
 			knownred.Skip(t)
 			is := is.New(t)
 			const servers = "127.99.99.4" // no other process uses it
-			server, err := standin.NewServer(standin.ServerOptions{ID: "engine-0", Service: "other", IP: servers, Slots: crowdClients, Observe: func(standin.Run) {}})
+			server, err := standin.NewServer(standin.ServerOptions{ID: "server-0", Service: "other", IP: servers, Slots: crowdClients, Observe: func(standin.Run) {}})
 			is.NoErr(err)
 			t.Cleanup(server.Crash)
 			server.SetReadRate(way.readRate)
--- a/cmd/bergamotd/stop_test.go
+++ b/cmd/bergamotd/stop_test.go
@@ -45,8 +45,8 @@
 }
 
 // startEdgeWithin starts cmd as an entry VM with limits and returns it and its IP address once it serves. It listens for callers at
-// port 9000, for the readiness check at 9001, for peers at 9002 and for the directory at 9003. engines serve its streams.
-func startEdgeWithin(t *testing.T, cmd *exec.Cmd, memoryMB, maxFDs int, observe func(standin.Run), engines ...*standin.Server) (*exec.Cmd, string) {
+// port 9000, for the readiness check at 9001, for peers at 9002 and for the directory at 9003. The store lists servers beside that of "app".
+func startEdgeWithin(t *testing.T, cmd *exec.Cmd, memoryMB, maxFDs int, observe func(standin.Run), servers ...*standin.Server) (*exec.Cmd, string) {
 	t.Helper()
 	is := is.New(t)
 	const moving = "other" // the service of the route "/moving/"
@@ -58,8 +58,8 @@
 	t.Cleanup(app.Crash)
 	is.NoErr(store.Put("config", "main", standin.Config(1, "h", moving, testRouteTimeout)))
 	is.NoErr(store.Put("servers", "i-1", app.Entry(app.Address(), "z", "ready", time.Now().UnixMilli())))
-	for n, engine := range engines {
-		is.NoErr(store.Put("servers", fmt.Sprint("engine-", n), engine.Entry(engine.Address(), "z", "ready", time.Now().UnixMilli())))
+	for n, server := range servers {
+		is.NoErr(store.Put("servers", fmt.Sprint("server-", n), server.Entry(server.Address(), "z", "ready", time.Now().UnixMilli())))
 	}
 
 	ip := fmt.Sprintf("127.%d.%d.3", 100+rand.IntN(100), rand.IntN(250)) // no other process uses it
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -129,7 +129,7 @@
 	// memoryLimitShare is the most of the memory that the runtime's soft limit may have. The remainder is for kernel buffers and for
 	// peaks between two garbage collections; on a small VM these and the program leave less.
 	memoryLimitShare  = 0.5
-	kernelBufferShare = 1. / 8
+	kernelBufferShare = 1. / ingress.MemoryDivisor
 	collectionShare   = 1. / 8
 	// bodyMemoryDivisor divides what the program leaves to give the memory for request bodies: less than half of the runtime's
 	// soft limit.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -333,15 +333,14 @@
 		return nil
 	}
 	if x.r.ContentLength > x.f.opts.BodyMemory-x.f.bodies.Load() { // refused before its first part is read
-		x.f.metrics.bodyMemory.Inc()
-		return errNoMemory()
+		return x.refuseForMemory()
 	}
 	var err error
 	x.body, err = bounded.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit), "request body", x.r.ContentLength, limit, x.reserve)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, errBodyMemory):
-		return errNoMemory()
+		return x.refuseForMemory()
 	case errors.As(err, &tooLarge):
 		return errBodyTooLarge(limit)
 	case err != nil:
@@ -353,7 +352,9 @@
 
 var errBodyMemory = errors.New("the memory for request bodies is used up")
 
-func errNoMemory() *result.Error {
+// refuseForMemory counts a refusal for lack of memory and returns it. An answer that finds no memory is no refusal.
+func (x *exchange) refuseForMemory() *result.Error {
+	x.f.metrics.bodyMemory.Inc()
 	return result.New(result.Overloaded, "the memory for requests is used up").WithRetryAfter(bodyMemoryRetryAfter)
 }
 
@@ -368,7 +369,7 @@
 func (x *exchange) reservePrompt() *result.Error {
 	n := int64(policy.Tokens(x.call.Parts)/policy.PieceTokens*pieceBytes + len(x.call.Parts)*partBytes)
 	if n > ordinaryPromptBytes && x.reserve(n) != nil {
-		return errNoMemory()
+		return x.refuseForMemory()
 	}
 	return nil
 }
@@ -380,7 +381,6 @@
 func (x *exchange) reserve(n int64) error {
 	if x.f.bodies.Add(n) > x.f.opts.BodyMemory {
 		x.f.bodies.Add(-n)
-		x.f.metrics.bodyMemory.Inc()
 		return errBodyMemory
 	}
 	x.reserved.Add(n)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -30,9 +30,9 @@
 }
 
 const (
-	// memoryDivisor divides the machine's memory to give the budget. The runtime's soft limit is 0.6 of the memory, of which bodies
+	// MemoryDivisor divides the machine's memory to give the budget. The runtime's soft limit is half of the memory, of which bodies
 	// may take 0.25; an entry VM at rest takes about 20 MB.
-	memoryDivisor = 8
+	MemoryDivisor = 8
 	// descriptorDivisor divides the descriptors to give the connections of clients. Each may need another one to an upstream.
 	descriptorDivisor = 2
 	// peerDivisor divides the descriptors to give the connections of other entry VMs.
@@ -82,7 +82,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	budget := o.MemoryBytes / memoryDivisor
+	budget := o.MemoryBytes / MemoryDivisor
 	return &Guard{opts: o, maxBytes: budget, readBuffers: recvbuf.NewBudget(budget), conns: map[*conn]struct{}{}, logged: map[event]*occurrences{}}
 }
 
